--- /dev/null
+++ b/components/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Under construction.
+
+fn main() {}
--- /dev/null
+++ b/components/http/src/body/mod.rs
@@ -0,0 +1,75 @@
+//! Bodies without dynamic dispatch.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use hyper::body::{Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// The sender gave up before the body was whole; the connection is cut so that the receiver notices.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("body aborted before its end")]
+pub struct Abort;
+
+/// Body of a request or response.
+#[derive(Debug, From)]
+pub enum Body {
+    /// Known in whole; `None` once it is taken.
+    Full(Option<Bytes>),
+    /// Sent part by part.
+    Stream(mpsc::Receiver<Result<Bytes, Abort>>),
+}
+
+impl Body {
+    /// Body without bytes.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::Full(None)
+    }
+
+    /// Body of known bytes.
+    #[must_use]
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Full((!bytes.is_empty()).then_some(bytes))
+    }
+
+    /// Body fed through a channel that holds `parts` parts.
+    #[must_use]
+    pub fn channel(parts: usize) -> (mpsc::Sender<Result<Bytes, Abort>>, Self) {
+        let (sender, receiver) = mpsc::channel(parts);
+        (sender, Self::Stream(receiver))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Abort;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(receiver) => {
+                receiver.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/components/http/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP servers and clients by `hyper`, with the limits that every port of the project keeps.
+
+pub mod body;
+pub mod client;
+pub mod server;
+
+pub use body::Body;
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/components/telemetry/src/event/mod.rs
@@ -0,0 +1,73 @@
+//! Event lines.
+
+use std::fmt::{Display, Write};
+
+/// Builder of one line: `event=<name> key=value …`.
+#[derive(Clone, Debug)]
+pub struct Line(String);
+
+impl Line {
+    /// Line for the event `name`.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self(format!("event={name}"))
+    }
+
+    /// Adds a pair; values with spaces, quotes or control characters are quoted.
+    #[must_use]
+    pub fn with(mut self, key: &str, value: impl Display) -> Self {
+        let value = value.to_string();
+        self.0.push(' ');
+        self.0.push_str(key);
+        self.0.push('=');
+        if value.is_empty() || value.chars().any(needs_quotes) {
+            // Writing to a string cannot fail.
+            let _ = write!(self.0, "{value:?}");
+        } else {
+            self.0.push_str(&value);
+        }
+        self
+    }
+
+    /// Logs the line at level info.
+    pub fn info(self) {
+        log::info!("{}", self.0);
+    }
+
+    /// Logs the line at level warn.
+    pub fn warn(self) {
+        log::warn!("{}", self.0);
+    }
+
+    /// Logs the line at level error.
+    pub fn error(self) {
+        log::error!("{}", self.0);
+    }
+
+    /// Logs the line at level debug.
+    pub fn debug(self) {
+        log::debug!("{}", self.0);
+    }
+
+    /// The line.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+fn needs_quotes(character: char) -> bool {
+    character.is_whitespace() || character.is_control() || matches!(character, '"' | '=')
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Line;
+
+    /// Guards against a value that forges further pairs or lines.
+    #[test]
+    fn can_quote_values() {
+        let line = Line::new("route").with("worker", "a-1").with("reason", "x\ny=\"z\"");
+        assert_eq!(line.as_str(), r#"event=route worker=a-1 reason="x\ny=\"z\"""#);
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,3 @@
+//! Logs and metrics: one line of key=value pairs per event, and `opentelemetry` metrics.
+
+pub mod event;
--- /dev/null
+++ b/components/wire/src/link/client.rs
@@ -0,0 +1,115 @@
+//! Calling side of a link.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::BytesMut;
+use h2::{RecvStream, client, client::SendRequest};
+use http::Request;
+use tokio::{net::TcpStream, sync::Mutex, time};
+
+use super::{CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth, auth::Key};
+use crate::{codec, frame::Frame, frame::Hello};
+
+/// Time limit for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Connection to one peer, opened on demand and shared by clones.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    identity: Arc<str>,
+    sender: Arc<Mutex<Option<SendRequest<bytes::Bytes>>>>,
+}
+
+impl Client {
+    /// Client for the peer at `address` that calls as `hello`.
+    ///
+    /// # Errors
+    /// Fails if the identity is too large.
+    pub fn new(address: SocketAddr, key: &Key, hello: &Hello) -> Result<Self, Error> {
+        let identity = auth::seal(key, hello)?.into();
+        Ok(Self { address, identity, sender: Arc::default() })
+    }
+
+    /// Sends `request` and returns its replies.
+    ///
+    /// # Errors
+    /// Fails if the peer is not reached, refuses the call or breaks the connection.
+    pub async fn call(&self, request: &Frame) -> Result<Replies, Error> {
+        let bytes = codec::encode(request)?;
+        let mut sender = self.sender().await?;
+        let head = Request::post(format!("http://{}/", self.address))
+            .header(HELLO_HEADER, &*self.identity)
+            .body(())
+            .map_err(|error| Error::Connect(error.to_string()))?;
+        let (response, mut body) = sender.send_request(head, false)?;
+        body.send_data(bytes, true)?;
+        let response = response.await?;
+        if !response.status().is_success() {
+            return Err(Error::Refused(response.status().as_u16()));
+        }
+        Ok(Replies { body: response.into_body(), buffer: BytesMut::new() })
+    }
+
+    /// Sends `request` and returns its only reply.
+    ///
+    /// # Errors
+    /// Fails like [`Client::call`], and if there is no reply.
+    pub async fn ask(&self, request: &Frame) -> Result<Frame, Error> {
+        self.call(request).await?.next().await?.ok_or(Error::Unexpected)
+    }
+
+    async fn sender(&self) -> Result<SendRequest<bytes::Bytes>, Error> {
+        let mut slot = self.sender.lock().await;
+        if let Some(sender) = slot.clone()
+            && let Ok(ready) = sender.ready().await
+        {
+            return Ok(ready);
+        }
+        let sender = connect(self.address).await?;
+        *slot = Some(sender.clone());
+        sender.ready().await.map_err(Error::Broken)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<bytes::Bytes>, Error> {
+    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| Error::Connect("timed out".to_owned()))?
+        .map_err(|error| Error::Connect(error.to_string()))?;
+    stream.set_nodelay(true).map_err(|error| Error::Connect(error.to_string()))?;
+    let (sender, connection) = client::Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .handshake(stream)
+        .await?;
+    tokio::spawn(async move {
+        // The callers see the error on their own streams.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Replies to one call; dropping them cancels the call.
+pub struct Replies {
+    body: RecvStream,
+    buffer: BytesMut,
+}
+
+impl Replies {
+    /// Next reply, `None` at the end.
+    ///
+    /// # Errors
+    /// Fails if the connection breaks or the peer sends no valid frame.
+    pub async fn next(&mut self) -> Result<Option<Frame>, Error> {
+        loop {
+            if let Some(frame) = codec::decode(&mut self.buffer)? {
+                return Ok(Some(frame));
+            }
+            let Some(chunk) = self.body.data().await else { return Ok(None) };
+            let chunk = chunk?;
+            self.body.flow_control().release_capacity(chunk.len())?;
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+}
