--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod token;
 
 pub use body::Body;
