Platform: add HTTP adapters, table client and in-memory table

The ports had no implementation. The adapters make one attempt per call; table::resolve::Client adds the rate budget, retries with jitter and the resolution of lost answers by token. platform::fake::Table injects refused, lost, late and slow transactions for tests of other crates.

--- a/components/platform/src/object/mod.rs
+++ b/components/platform/src/object/mod.rs
@@ -1,5 +1,7 @@
 //! Port to the object store.
 
+pub mod http;
+
 use std::future::Future;
 
 use bytes::Bytes;
--- a/components/platform/src/table/mod.rs
+++ b/components/platform/src/table/mod.rs
@@ -1,5 +1,8 @@
 //! Port to the transactional table service.
 
+pub mod http;
+pub mod resolve;
+
 use std::future::Future;
 
 use derive_more::{Display, Error};
--- /dev/null
+++ b/components/platform/src/vm/http.rs
@@ -0,0 +1,37 @@
+//! Adapter to the VM list over HTTP; one attempt per call, since the list is polled.
+
+use std::{net::SocketAddr, time::Duration};
+
+use filbertsail_api::vm;
+use http::{Method, StatusCode};
+
+use super::{List, Unavailable};
+use crate::exchange::Endpoint;
+
+/// Time limit of one attempt.
+pub const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client of the VM list, cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Client {
+    endpoint: Endpoint,
+}
+
+impl Client {
+    /// Client of the list at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { endpoint: Endpoint::new(address, TIMEOUT) }
+    }
+}
+
+impl List for Client {
+    async fn read(&self) -> Result<vm::List, Unavailable> {
+        let answer = self.endpoint.call(Method::GET, "/v1/vms", None).await;
+        let (status, body) = answer.map_err(|failure| Unavailable { reason: failure.text() })?;
+        if status != StatusCode::OK {
+            return Err(Unavailable { reason: format!("status {}", status.as_u16()) });
+        }
+        serde_json::from_slice(&body).map_err(|error| Unavailable { reason: error.to_string() })
+    }
+}
--- a/components/platform/src/vm/mod.rs
+++ b/components/platform/src/vm/mod.rs
@@ -1,5 +1,7 @@
 //! Port to the platform's VM list.
 
+pub mod http;
+
 use std::future::Future;
 
 use derive_more::{Display, Error};
--- a/components/platform/src/weight/mod.rs
+++ b/components/platform/src/weight/mod.rs
@@ -1,5 +1,7 @@
 //! Port to the weight store.
 
+pub mod http;
+
 use std::future::Future;
 
 use derive_more::{Display, Error};
--- /dev/null
+++ b/components/platform/tests/resolve.rs
@@ -0,0 +1,118 @@
+//! Resolution of lost answers over the fake table, in paused time.
+
+use std::time::Duration;
+
+use filbertsail_api::table::{Check, Expect, Query, Transaction, Write};
+use filbertsail_platform::{
+    budget::{Budget, Rates},
+    fake::{Fault, Table as Fake},
+    table::{Error, Table, resolve::Client},
+};
+use serde_json::json;
+
+fn client(fake: &Fake) -> Client<Fake> {
+    let budget = Budget::new(Rates { writes_per_s: 1e6, reads_per_s: 1e6 });
+    Client::new(fake.clone(), budget)
+}
+
+fn create(token: &str) -> Transaction {
+    Transaction {
+        token: token.to_owned(),
+        checks: vec![Check { key: "row".to_owned(), expect: Expect::Absent }],
+        writes: vec![Write { key: "row".to_owned(), value: Some(json!({ "by": token })) }],
+    }
+}
+
+fn update(token: &str, revision: u64) -> Transaction {
+    let expect = Expect::Revision { revision };
+    Transaction { checks: vec![Check { key: "row".to_owned(), expect }], ..create(token) }
+}
+
+/// Guards against a committed write that is reported as a conflict with itself.
+#[tokio::test(start_paused = true)]
+async fn can_recognise_its_own_commit() {
+    let fake = Fake::default();
+    fake.inject(Fault::LostAfter);
+    let commit = client(&fake).transact(create("a")).await;
+    assert_eq!(commit.expect("committed").revision, 1);
+    assert_eq!(fake.applied().len(), 1);
+}
+
+/// Guards against a lost request that is given up although a repeat is safe.
+#[tokio::test(start_paused = true)]
+async fn can_repeat_a_lost_request() {
+    let fake = Fake::default();
+    fake.inject(Fault::LostBefore);
+    fake.inject(Fault::Refused);
+    assert!(client(&fake).transact(create("a")).await.is_ok());
+    assert_eq!(fake.applied().len(), 1);
+}
+
+/// Guards against "failed" for a write that committed and was then replaced by another writer.
+#[tokio::test(start_paused = true)]
+async fn can_say_unknown_after_another_writer() {
+    let fake = Fake::default();
+    fake.inject(Fault::LostAfter);
+    let writer = tokio::spawn({
+        let client = client(&fake);
+        async move { client.transact(create("a")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fake.transact(update("b", 1)).await.expect("replaces the row");
+    let outcome = writer.await.expect("joins");
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+}
+
+/// Guards against "not written" for a request that is still on its way when the outage starts.
+#[tokio::test(start_paused = true)]
+async fn can_say_unknown_in_an_outage() {
+    let fake = Fake::default();
+    fake.inject(Fault::Late(Duration::from_secs(60)));
+    let writer = tokio::spawn({
+        let client = client(&fake);
+        async move { client.transact(create("a")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fake.set_down(true);
+    let outcome = writer.await.expect("joins");
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(fake.applied().len(), 1);
+}
+
+/// Guards against waiting without end on a table that does not answer in time.
+#[tokio::test(start_paused = true)]
+async fn can_give_up_on_a_slow_table() {
+    let fake = Fake::default();
+    fake.set_delay(Duration::from_secs(3_600));
+    let query = Query { keys: vec!["row".to_owned()] };
+    let outcome = client(&fake).read(query).await;
+    assert!(matches!(outcome, Err(Error::Unavailable(_))), "{outcome:?}");
+}
+
+/// Guards against a fleet that overruns the table when all daemons restart at once.
+#[tokio::test(start_paused = true)]
+async fn can_keep_a_restarting_fleet_within_the_rate() {
+    let fake = Fake::default();
+    let mut daemons = tokio::task::JoinSet::new();
+    for daemon in 0..420 {
+        let budget = Budget::new(Rates { writes_per_s: 300.0, reads_per_s: 2_000.0 });
+        let client = Client::new(fake.clone(), budget.clone());
+        daemons.spawn(async move {
+            for number in 0..40 {
+                // What a daemon knows of the fleet grows while it starts.
+                budget.set_members(420.min(1 + number * 60));
+                let token = format!("{daemon}-{number}");
+                let write = Write { key: token.clone(), value: Some(json!({})) };
+                let transaction = Transaction { token, checks: vec![], writes: vec![write] };
+                let _ = client.transact(transaction).await;
+            }
+        });
+    }
+    for second in 0..10 {
+        let before = fake.calls().0;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let writes = fake.calls().0 - before;
+        assert!(writes <= 600, "{writes} writes in second {second}");
+    }
+}
