Cluster: add agent with leases, configuration and membership

The daemons had no shared state. Leases, configuration following and membership are state machines driven by one task each; agent::start ties them together behind a handle. Digests carry only changed entries and a hash of the view, so that the cost per daemon does not grow with the fleet.

Digest and Member gain the fields for conditions, view hash and confirmation age; nothing was released with the earlier form.

--- /dev/null
+++ b/components/cluster/src/config/task.rs
@@ -0,0 +1,339 @@
+//! Task that follows the configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use filbertsail_api::table::{Query, Row};
+use filbertsail_clock::{Instant, Source};
+use filbertsail_platform::table::Table;
+use filbertsail_telemetry::event::Line;
+use filbertsail_wire::frame::{Config, Frame, Hint, Pull};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use serde::de::DeserializeOwned;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{HEAD, Head, Snapshot, Version, follower::Follower, key};
+use crate::{
+    member::{self, State},
+    peers::Pool,
+};
+
+/// Longest time between two polls of the head; the shortest is half of it.
+const POLL_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Longest delay of the poll after a hint, so that the fleet does not read at the same moment.
+const HINT_JITTER: Duration = Duration::from_millis(400);
+/// Time between two checks of readiness.
+const READY_INTERVAL: Duration = Duration::from_millis(250);
+/// Peers told of a new version.
+const HINT_FANOUT: usize = 3;
+/// Peers asked for their configuration at a time.
+const PULL_FANOUT: usize = 3;
+/// Time limit of a call to a peer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Request to the task.
+pub(crate) enum Command {
+    /// A peer knows a version, which was the highest at a time, if that is known.
+    Heard { version: u64, at: Option<Instant> },
+    /// A peer asks for the configuration.
+    Pull(Pull, oneshot::Sender<Config>),
+    /// This daemon wrote a version.
+    Wrote(Arc<Snapshot>),
+    /// Planned stop under way or not.
+    Draining(bool),
+}
+
+/// Result of a call.
+enum Outcome {
+    /// Head as read at a time, and its text if it was newer.
+    Polled { sent: Instant, head: Option<Head>, snapshot: Option<Arc<Snapshot>> },
+    /// The table gave no usable answer.
+    Failed(String),
+    /// Configuration of a peer that was asked at a time.
+    Pulled { sent: Instant, config: Option<Config> },
+    /// A peer was told.
+    Hinted,
+}
+
+/// What the task makes known.
+pub(crate) struct Output {
+    pub(crate) config: watch::Sender<Option<Arc<Snapshot>>>,
+    pub(crate) confirmed: watch::Sender<Option<(u64, Instant)>>,
+    pub(crate) ready: watch::Sender<bool>,
+    pub(crate) reachable: watch::Sender<bool>,
+    pub(crate) version: mpsc::UnboundedSender<member::task::Command>,
+}
+
+pub(crate) struct Task<T, C> {
+    pub(crate) table: T,
+    pub(crate) clock: C,
+    pub(crate) peers: Pool,
+    pub(crate) members: watch::Receiver<Arc<[State]>>,
+    pub(crate) majority: watch::Receiver<(usize, usize)>,
+    pub(crate) output: Output,
+    pub(crate) work: Work,
+}
+
+/// State of the task.
+pub(crate) struct Work {
+    follower: Follower,
+    rng: StdRng,
+    calls: JoinSet<Outcome>,
+    poll_at: Instant,
+    polling: bool,
+    pulling: usize,
+    draining: bool,
+}
+
+impl Work {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            follower: Follower::default(),
+            rng: StdRng::seed_from_u64(seed),
+            calls: JoinSet::new(),
+            poll_at: Instant::default(),
+            polling: false,
+            pulling: 0,
+            draining: false,
+        }
+    }
+}
+
+impl<T: Table, C: Source> Task<T, C> {
+    pub(crate) async fn run(
+        mut self,
+        mut commands: mpsc::UnboundedReceiver<Command>,
+        stop: CancellationToken,
+    ) {
+        loop {
+            self.step();
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = sleep(self.pause()) => {}
+                Some(outcome) = self.work.calls.join_next() => {
+                    if let Ok(outcome) = outcome {
+                        self.finish(outcome);
+                    }
+                }
+                command = commands.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => break,
+                },
+            }
+        }
+        self.output.ready.send_replace(false);
+    }
+
+    fn pause(&self) -> Duration {
+        let poll = self.work.poll_at.since(self.clock.now());
+        if self.work.polling { READY_INTERVAL } else { poll.min(READY_INTERVAL) }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        if !self.work.polling && now >= self.work.poll_at {
+            self.poll(now);
+        }
+        self.output.confirmed.send_replace(self.work.follower.confirmed());
+        let (seen, known) = *self.majority.borrow();
+        let ready = !self.work.draining && self.work.follower.is_ready(now, 2 * seen > known);
+        let changed = self.output.ready.send_if_modified(|current| {
+            let changed = *current != ready;
+            *current = ready;
+            changed
+        });
+        if changed {
+            Line::new("ready")
+                .with("ready", ready)
+                .with("confirmed", self.work.follower.is_confirmed(now))
+                .with("seen", seen)
+                .with("known", known)
+                .info();
+        }
+    }
+
+    fn poll(&mut self, now: Instant) {
+        self.work.polling = true;
+        let (table, have) = (self.table.clone(), self.work.follower.version());
+        self.work.calls.spawn(async move { poll(&table, have, now).await });
+    }
+
+    fn schedule(&mut self) {
+        let share = self.work.rng.random_range(0.5..1.0);
+        self.work.poll_at = self.clock.now().after(POLL_INTERVAL.mul_f64(share));
+    }
+
+    /// Polls soon after news of a version that is not in force here.
+    fn hurry(&mut self) {
+        let share = self.work.rng.random_range(0.0..1.0);
+        let soon = self.clock.now().after(HINT_JITTER.mul_f64(share));
+        self.work.poll_at = self.work.poll_at.min(soon);
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Polled { sent, head, snapshot } => {
+                self.polled();
+                self.output.reachable.send_replace(true);
+                let version = head.map_or(0, |head| head.version);
+                if let Some(snapshot) = snapshot {
+                    self.adopt(snapshot, "table");
+                }
+                self.work.follower.hear(version, Some(sent));
+            }
+            Outcome::Failed(reason) => {
+                self.polled();
+                if self.output.reachable.send_replace(false) {
+                    Line::new("config_poll_failed").with("reason", reason).warn();
+                }
+                if self.work.follower.is_behind() || self.work.follower.version() == 0 {
+                    self.pull();
+                }
+            }
+            Outcome::Pulled { sent, config } => {
+                self.work.pulling -= 1;
+                if let Some(config) = config {
+                    self.pulled(sent, &config);
+                }
+            }
+            Outcome::Hinted => {}
+        }
+    }
+
+    fn polled(&mut self) {
+        self.work.polling = false;
+        self.schedule();
+    }
+
+    fn pulled(&mut self, sent: Instant, config: &Config) {
+        if config.version > self.work.follower.version() && !config.text.is_empty() {
+            match Snapshot::parse(config.version, &config.digest, &config.text) {
+                Ok(snapshot) => self.adopt(Arc::new(snapshot), "peer"),
+                Err(reason) => Line::new("config_rejected").with("reason", reason).error(),
+            }
+        }
+        let age = config.confirmed_age_ms.map(Duration::from_millis);
+        self.work.follower.hear(config.version, age.map(|age| sent.before(age)));
+    }
+
+    fn adopt(&mut self, snapshot: Arc<Snapshot>, source: &str) {
+        let (version, digest) = (snapshot.version, snapshot.digest.clone());
+        if !self.work.follower.adopt(snapshot) {
+            return;
+        }
+        self.output.config.send_replace(self.work.follower.current().cloned());
+        // Fails only while the daemon stops.
+        let _ = self.output.version.send(member::task::Command::ConfigVersion(version));
+        Line::new("config_in_force")
+            .with("version", version)
+            .with("digest", digest)
+            .with("source", source)
+            .info();
+        self.hint(version);
+    }
+
+    fn hint(&mut self, version: u64) {
+        let members = self.members.borrow().clone();
+        let behind: Vec<_> = members
+            .iter()
+            .skip(1)
+            .filter(|member| member.live && member.config_version < version)
+            .map(|member| member.address)
+            .collect();
+        for address in behind.sample(&mut self.work.rng, HINT_FANOUT).copied() {
+            let peers = self.peers.clone();
+            self.work.calls.spawn(async move {
+                peers.ask(address, Frame::Hint(Hint { version }), PEER_TIMEOUT).await;
+                Outcome::Hinted
+            });
+        }
+    }
+
+    /// Asks a few peers, first those that say they have the highest version.
+    fn pull(&mut self) {
+        if self.work.pulling > 0 {
+            return;
+        }
+        let members = self.members.borrow().clone();
+        let live: Vec<_> = members.iter().skip(1).filter(|member| member.live).collect();
+        let mut asked: Vec<_> = live.sample(&mut self.work.rng, PULL_FANOUT).copied().collect();
+        asked.extend(live.iter().copied().max_by_key(|member| member.config_version));
+        asked.dedup();
+        let have = self.work.follower.version();
+        for address in asked.iter().map(|member| member.address) {
+            let (peers, sent) = (self.peers.clone(), self.clock.now());
+            self.work.pulling += 1;
+            self.work.calls.spawn(async move {
+                let reply = peers.ask(address, Frame::Pull(Pull { have }), PEER_TIMEOUT).await;
+                let config = reply.and_then(|frame| Config::try_from(frame).ok());
+                Outcome::Pulled { sent, config }
+            });
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Heard { version, at } => {
+                self.work.follower.hear(version, at);
+                if self.work.follower.is_behind() {
+                    self.hurry();
+                }
+            }
+            Command::Pull(pull, reply) => {
+                // Fails only if the caller has given up.
+                let _ = reply.send(self.answer(&pull));
+            }
+            Command::Wrote(snapshot) => self.adopt(snapshot, "apply"),
+            Command::Draining(draining) => self.work.draining = draining,
+        }
+    }
+
+    fn answer(&self, pull: &Pull) -> Config {
+        let now = self.clock.now();
+        let follower = &self.work.follower;
+        let current = follower.current();
+        let newer = current.filter(|current| current.version > pull.have);
+        let age = follower.confirmed().map(|(_, at)| now.since(at));
+        Config {
+            version: follower.version(),
+            digest: current.map_or_else(String::new, |current| current.digest.clone()),
+            text: newer.map_or_else(String::new, |current| current.text.to_string()),
+            confirmed_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+        }
+    }
+}
+
+async fn poll<T: Table>(table: &T, have: u64, sent: Instant) -> Outcome {
+    let rows = match table.read(Query { keys: vec![HEAD.to_owned()] }).await {
+        Ok(rows) => rows,
+        Err(error) => return Outcome::Failed(error.to_string()),
+    };
+    let head = match value::<Head>(&rows) {
+        Ok(head) => head,
+        Err(error) => return Outcome::Failed(error),
+    };
+    let Some(newer) = head.as_ref().filter(|head| head.version > have) else {
+        return Outcome::Polled { sent, head, snapshot: None };
+    };
+    match text(table, newer.version).await {
+        Ok(snapshot) => Outcome::Polled { sent, head, snapshot: Some(Arc::new(snapshot)) },
+        Err(error) => Outcome::Failed(error),
+    }
+}
+
+async fn text<T: Table>(table: &T, version: u64) -> Result<Snapshot, String> {
+    let rows = table.read(Query { keys: vec![key(version)] }).await;
+    let rows = rows.map_err(|error| error.to_string())?;
+    let row = value::<Version>(&rows)?.ok_or("version row is missing")?;
+    Snapshot::parse(row.version, &row.digest, &row.text)
+}
+
+/// Value of the only row.
+pub(super) fn value<V: DeserializeOwned>(rows: &[Row]) -> Result<Option<V>, String> {
+    let row = rows.first().map(|row| serde_json::from_value(row.value.clone()));
+    row.transpose().map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/components/cluster/src/subset/mod.rs
@@ -0,0 +1,65 @@
+//! Rendezvous hashing: who watches whom and who prefers which lease.
+//!
+//! Every daemon computes the same ranking from the same names. When a name comes or goes, only
+//! the choices that involve it change.
+
+use std::hash::{Hash, Hasher};
+
+/// FNV-1a, so that daemons of different builds agree on the ranking.
+#[derive(Clone, Copy)]
+struct Fnv(u64);
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        // FNV mixes the last bytes poorly into the high bits, which the ranking compares first.
+        let mut value = self.0;
+        value ^= value >> 33;
+        value = value.wrapping_mul(0xff51_afd7_ed55_8ccd);
+        value ^ (value >> 33)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+/// Rank of `node` for `key`; the highest wins.
+#[must_use]
+pub fn score(key: &str, node: &str) -> u64 {
+    let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
+    key.hash(&mut hasher);
+    node.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Number of `others` that rank above `node` for `key`.
+pub fn rank<'a>(key: &str, node: &str, others: impl IntoIterator<Item = &'a str>) -> usize {
+    let mine = (score(key, node), node);
+    others.into_iter().filter(|other| (score(key, other), *other) > mine).count()
+}
+
+/// Node with its availability zone.
+pub trait Located {
+    /// Unique name.
+    fn name(&self) -> &str;
+    /// Availability zone.
+    fn zone(&self) -> &str;
+}
+
+/// Up to `count` nodes for `key`, those in `zone` first.
+#[must_use]
+pub fn zone_first<'a, T: Located>(
+    key: &str,
+    zone: &str,
+    nodes: impl IntoIterator<Item = &'a T>,
+    count: usize,
+) -> Vec<&'a T> {
+    let mut ranked: Vec<_> = nodes
+        .into_iter()
+        .map(|node| ((node.zone() == zone, score(key, node.name()), node.name()), node))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+    ranked.into_iter().take(count).map(|(_, node)| node).collect()
+}
--- /dev/null
+++ b/components/cluster/tests/common/mod.rs
@@ -0,0 +1,103 @@
+//! Fleet of agents in one process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use filbertsail_cluster::agent::{self, Handle, Identity, Settings};
+use filbertsail_platform::fake::Table;
+use filbertsail_wire::{
+    Frame,
+    frame::{Hello, Role},
+    link::{
+        auth::Key,
+        server::{Handler, Sender, serve},
+    },
+};
+use tokio::{net::TcpListener, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Smallest inventory.
+pub const INVENTORY: &str = r#"
+worker = []
+
+[deployment]
+name = "perth"
+staleness_weight = 2.0
+idle_weight = 1.0
+
+[[zone]]
+name = "perth-a"
+region = "perth"
+
+[[service]]
+name = "advisor-lm"
+kind = "model"
+"#;
+
+#[derive(Clone)]
+struct Peers(Handle<Table>);
+
+impl Handler for Peers {
+    async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
+        let reply = self.0.answer(request).await;
+        // The caller may have given up.
+        let _ = replies.send(reply).await;
+    }
+}
+
+/// Agents that share one table.
+pub struct Fleet {
+    pub table: Table,
+    pub agents: Vec<Handle<Table>>,
+    stops: Vec<CancellationToken>,
+}
+
+impl Fleet {
+    /// Starts `count` agents in three zones.
+    pub async fn start(count: usize) -> Self {
+        let mut fleet = Self { table: Table::default(), agents: Vec::new(), stops: Vec::new() };
+        let mut seeds = Vec::new();
+        for index in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+            let address = listener.local_addr().expect("address");
+            seeds.push(address);
+            let seeds = vec![seeds[0]];
+            let stop = CancellationToken::new();
+            let identity = identity(index, address);
+            let key = identity.key.clone();
+            let settings = Settings { seeds, ..Settings::default() };
+            let agent = agent::start(identity, settings, fleet.table.clone(), stop.clone());
+            tokio::spawn(serve(listener, key, Peers(agent.clone()), stop.clone()));
+            fleet.agents.push(agent);
+            fleet.stops.push(stop);
+        }
+        fleet
+    }
+
+    /// Waits until every agent sees all others.
+    pub async fn meet(&self) {
+        let count = self.agents.len();
+        for agent in &self.agents {
+            let mut members = agent.members();
+            let all = members
+                .wait_for(|members| members.iter().filter(|member| member.live).count() == count);
+            timeout(Duration::from_secs(30), all).await.expect("meets").expect("runs");
+        }
+    }
+
+    /// Stops one agent as planned.
+    pub async fn stop(&mut self, index: usize) {
+        self.stops[index].cancel();
+        self.agents[index].join().await;
+    }
+}
+
+fn identity(index: usize, address: SocketAddr) -> Identity {
+    Identity {
+        name: format!("gateway-{index}"),
+        role: Role::Gateway,
+        zone: ["perth-a", "perth-b", "perth-c"][index % 3].to_owned(),
+        address,
+        incarnation: 1,
+        key: Key::new(vec![7; 32]),
+    }
+}
--- /dev/null
+++ b/components/cluster/tests/fleet.rs
@@ -0,0 +1,50 @@
+//! Agents over loopback sockets and the in-memory table.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Fleet;
+use filbertsail_api::admin::Apply;
+use tokio::time::timeout;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn change(text: &str) -> Apply {
+    Apply {
+        author: "operator".to_owned(),
+        expect_version: None,
+        text: text.to_owned(),
+        wait_ms: Some(30_000),
+    }
+}
+
+/// Guards against a configuration that is in force only where it was accepted.
+#[tokio::test]
+async fn can_bring_a_configuration_into_force_everywhere() {
+    let fleet = Fleet::start(6).await;
+    fleet.meet().await;
+    let applied = fleet.agents[0].apply(change(common::INVENTORY)).await.expect("accepted");
+    assert_eq!((applied.version, applied.live, applied.confirmed), (1, 6, 6));
+    assert!(applied.unconfirmed.is_empty());
+    for agent in &fleet.agents {
+        timeout(LIMIT, agent.ready().wait_for(|ready| *ready)).await.expect("ready").expect("runs");
+    }
+}
+
+/// Guards against two holders and against a release that makes the next holder wait.
+#[tokio::test]
+async fn can_hand_over_a_lease_at_a_planned_stop() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.meet().await;
+    let first = fleet.agents[0].lease("trainer/lather");
+    let held = timeout(LIMIT, first.holding().wait_for(Option::is_some)).await.is_ok();
+    let epoch = first.holding().borrow().expect("held").epoch;
+    assert!(held);
+    let second = fleet.agents[1].lease("trainer/lather");
+    assert!(second.holding().borrow().is_none());
+    fleet.stop(0).await;
+    let held = timeout(LIMIT, second.holding().wait_for(Option::is_some)).await.is_ok();
+    assert!(held);
+    assert_eq!(second.holding().borrow().expect("held").epoch, epoch + 1);
+}
--- a/components/wire/src/frame/mod.rs
+++ b/components/wire/src/frame/mod.rs
@@ -254,14 +254,29 @@
     pub address: SocketAddr,
     /// Rises with each start.
     pub incarnation: u64,
-    /// Rises with each heartbeat.
-    pub heartbeat: u64,
+    /// Rises with each change that the daemon makes to its own entry.
+    pub revision: u64,
+    /// What the fleet believes about it.
+    pub condition: Condition,
     /// Planned stop under way.
     pub draining: bool,
     /// Configuration version in force.
     pub config_version: u64,
 }
 
+/// What the fleet believes about a daemon; a later variant outweighs an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Condition {
+    /// Answers.
+    Live,
+    /// Did not answer a probe and has not refuted it yet.
+    Suspect,
+    /// Did not refute the suspicion in time.
+    Gone,
+    /// Stopped as planned.
+    Left,
+}
+
 /// Role of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum Role {
@@ -274,8 +289,14 @@
 /// Membership digest.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Digest {
-    /// Daemons known to the sender.
+    /// The sender first, then daemons whose entries changed lately, or all if `full`.
     pub members: Vec<Member>,
+    /// Whether the sender lists all daemons it knows and wants the same back.
+    pub full: bool,
+    /// Hash over all entries that the sender knows.
+    pub view: u64,
+    /// Age of the last confirmation of the sender's configuration version, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
 }
 
 /// Hint that a configuration version exists.
