Wire: sign each call, refuse replayed identities, bound decoder memory

A recorded identity opened connections for ever, and a frame of a few bytes that announced a long list reserved up to 64 MiB. Each connection now opens with a fresh time and nonce, each call is signed over nonce, number and request, and refused calls are counted. The decoder's limit follows from the length of the frame.

--- a/components/wire/src/codec/mod.rs
+++ b/components/wire/src/codec/mod.rs
@@ -3,7 +3,10 @@
 //! A decoder skips frames of unknown kind and ignores bytes after the fields that it knows, so that
 //! daemons of different versions can talk. New fields are appended in a new kind.
 
-use bincode::{Decode, Encode, config, config::Configuration, decode_from_slice, encode_to_vec};
+use bincode::{
+    Decode, Encode, config, config::Configuration, decode_from_slice, encode_to_vec,
+    error::DecodeError,
+};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use derive_more::{Display, Error};
 
@@ -39,9 +42,31 @@
     },
 }
 
-const fn settings()
--> Configuration<config::BigEndian, config::Varint, config::Limit<MAX_FRAME_BYTES>> {
-    config::standard().with_big_endian().with_limit::<MAX_FRAME_BYTES>()
+/// Largest memory per encoded byte that a decoded body needs, rounded up; entries of lists are
+/// larger in memory than in a frame.
+const MEMORY_PER_BYTE: usize = 8;
+
+type Settings<const LIMIT: usize> =
+    Configuration<config::BigEndian, config::Varint, config::Limit<LIMIT>>;
+
+const fn settings<const LIMIT: usize>() -> Settings<LIMIT> {
+    config::standard().with_big_endian().with_limit::<LIMIT>()
+}
+
+/// Decodes with the smallest limit that fits the length, so that a short frame that announces a
+/// long list cannot reserve much memory.
+fn decode_bounded<T: Decode<()>>(bytes: &[u8]) -> Result<(T, usize), DecodeError> {
+    const SMALL: usize = 64 * 1024;
+    const MEDIUM: usize = 2 * 1024 * 1024;
+    const LARGE: usize = MAX_FRAME_BYTES * MEMORY_PER_BYTE;
+    let memory = bytes.len() * MEMORY_PER_BYTE;
+    if memory <= SMALL {
+        decode_from_slice(bytes, settings::<SMALL>())
+    } else if memory <= MEDIUM {
+        decode_from_slice(bytes, settings::<MEDIUM>())
+    } else {
+        decode_from_slice(bytes, settings::<LARGE>())
+    }
 }
 
 /// Encodes any body with the settings of the protocol.
@@ -49,7 +74,8 @@
 /// # Errors
 /// Fails if the body is larger than [`MAX_FRAME_BYTES`].
 pub fn encode_body<T: Encode>(body: &T) -> Result<Vec<u8>, Error> {
-    encode_to_vec(body, settings()).map_err(|error| Error::Encode { reason: error.to_string() })
+    encode_to_vec(body, settings::<MAX_FRAME_BYTES>())
+        .map_err(|error| Error::Encode { reason: error.to_string() })
 }
 
 /// Decodes a body and ignores the bytes behind it.
@@ -57,7 +83,7 @@
 /// # Errors
 /// Fails if the bytes are not a body of this type.
 pub fn decode_body<T: Decode<()>>(kind: u16, bytes: &[u8]) -> Result<T, Error> {
-    decode_from_slice(bytes, settings())
+    decode_bounded(bytes)
         .map(|(body, _)| body)
         .map_err(|error| Error::Body { kind, reason: error.to_string() })
 }
--- a/components/wire/src/link/mod.rs
+++ b/components/wire/src/link/mod.rs
@@ -11,6 +11,8 @@
 
 /// Header with the authenticated identity of the caller.
 pub(crate) const HELLO_HEADER: &str = "filbertsail-hello";
+/// Header with the number of the call on its connection and its authentication code.
+pub(crate) const CALL_HEADER: &str = "filbertsail-call";
 /// Flow-control window of a stream in bytes.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 /// Flow-control window of a connection in bytes.
--- a/components/wire/src/link/server.rs
+++ b/components/wire/src/link/server.rs
@@ -3,14 +3,12 @@
 use std::{
     future::{Future, poll_fn},
     pin::pin,
+    sync::Arc,
 };
 
 use bytes::{Bytes, BytesMut};
-use h2::{
-    Reason, RecvStream, SendStream, server,
-    server::{Connection, SendResponse},
-};
-use http::{Request, Response, StatusCode};
+use h2::{Reason, RecvStream, SendStream, server, server::SendResponse};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -18,7 +16,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth, auth::Key};
+use super::{
+    CALL_HEADER, CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth,
+    auth::{Admission, Key, Refusal},
+};
 use crate::{codec, frame::Frame, frame::Hello};
 
 /// Largest number of calls at a time on one connection.
@@ -62,6 +63,18 @@
     handler: H,
     stop: CancellationToken,
 ) {
+    serve_with(listener, key, Arc::default(), handler, stop).await;
+}
+
+/// Like [`serve`], with counters of refused calls that the caller can read.
+pub async fn serve_with<H: Handler>(
+    listener: TcpListener,
+    key: Key,
+    admission: Arc<Admission>,
+    handler: H,
+    stop: CancellationToken,
+) {
+    let port = Port { key, admission, handler };
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
@@ -69,7 +82,7 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
-                connections.spawn(connection(stream, key.clone(), handler.clone(), stop.clone()));
+                connections.spawn(connection(stream, port.clone(), stop.clone()));
             }
         }
     }
@@ -77,7 +90,29 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection<H: Handler>(stream: TcpStream, key: Key, handler: H, stop: CancellationToken) {
+/// What all connections of a port share.
+#[derive(Clone)]
+struct Port<H> {
+    key: Key,
+    admission: Arc<Admission>,
+    handler: H,
+}
+
+/// Caller of a connection.
+struct Session {
+    identity: HeaderValue,
+    hello: Hello,
+    calls: u64,
+}
+
+/// Call whose identity and number are right; the code is checked once the request is there.
+struct Ticket {
+    caller: Hello,
+    number: u64,
+    code: String,
+}
+
+async fn connection<H: Handler>(stream: TcpStream, port: Port<H>, stop: CancellationToken) {
     // Without it small frames wait for acknowledgements; failure costs only latency.
     let _ = stream.set_nodelay(true);
     let handshake = server::Builder::new()
@@ -86,16 +121,16 @@
         .max_concurrent_streams(MAX_CONCURRENT_CALLS)
         .handshake(stream);
     let Ok(connection) = handshake.await else { return };
-    accept_calls(connection, key, handler, stop).await;
+    accept_calls(connection, port, stop).await;
 }
 
 async fn accept_calls<H: Handler>(
-    mut connection: Connection<TcpStream, Bytes>,
-    key: Key,
-    handler: H,
+    mut connection: server::Connection<TcpStream, Bytes>,
+    port: Port<H>,
     stop: CancellationToken,
 ) {
     let mut stopping = false;
+    let mut session = None;
     loop {
         tokio::select! {
             () = stop.cancelled(), if !stopping => {
@@ -103,31 +138,70 @@
                 connection.graceful_shutdown();
             }
             accepted = connection.accept() => {
-                let Some(Ok((request, response))) = accepted else { return };
-                tokio::spawn(call(request, response, key.clone(), handler.clone()));
+                let Some(Ok((request, mut response))) = accepted else { return };
+                match port.admit(&mut session, request.headers()) {
+                    Ok(ticket) => {
+                        tokio::spawn(call(request, response, ticket, port.clone()));
+                    }
+                    Err(_) => refuse(&mut response, StatusCode::UNAUTHORIZED),
+                }
             }
         }
     }
 }
 
+impl<H> Port<H> {
+    /// Checks the identity of a call and that its number rises.
+    fn admit(&self, slot: &mut Option<Session>, headers: &HeaderMap) -> Result<Ticket, Refusal> {
+        let session = self.identify(slot, headers)?;
+        let call = headers.get(CALL_HEADER).and_then(|value| value.to_str().ok());
+        let call = call.and_then(auth::parse_call);
+        let (number, code) = call.ok_or_else(|| self.admission.count(Refusal::Stranger))?;
+        if number <= session.calls {
+            return Err(self.admission.count(Refusal::Replay));
+        }
+        session.calls = number;
+        Ok(Ticket { caller: session.hello.clone(), number, code: code.to_owned() })
+    }
+
+    fn identify<'a>(
+        &self,
+        slot: &'a mut Option<Session>,
+        headers: &HeaderMap,
+    ) -> Result<&'a mut Session, Refusal> {
+        let stranger = || self.admission.count(Refusal::Stranger);
+        let identity = headers.get(HELLO_HEADER).ok_or_else(stranger)?;
+        if slot.as_ref().is_none_or(|session| session.identity != identity) {
+            let text = identity.to_str().map_err(|_| stranger())?;
+            let hello = self.admission.admit(&self.key, text, auth::unix_ms())?;
+            *slot = Some(Session { identity: identity.clone(), hello, calls: 0 });
+        }
+        slot.as_mut().ok_or_else(stranger)
+    }
+}
+
 async fn call<H: Handler>(
     request: Request<RecvStream>,
     mut response: SendResponse<Bytes>,
-    key: Key,
-    handler: H,
+    ticket: Ticket,
+    port: Port<H>,
 ) {
-    let identity = request.headers().get(HELLO_HEADER).and_then(|value| value.to_str().ok());
-    let Some(caller) = identity.and_then(|text| auth::open(&key, text)) else {
-        return refuse(&mut response, StatusCode::UNAUTHORIZED);
+    let Ok(mut body) = whole(request.into_body()).await else {
+        return refuse(&mut response, StatusCode::BAD_REQUEST);
     };
-    let Ok(Some(frame)) = first_frame(request.into_body()).await else {
+    let Ticket { caller, number, code } = ticket;
+    if !auth::verify_call(&port.key, &caller.nonce, number, &body, &code) {
+        port.admission.count(Refusal::Stranger);
+        return refuse(&mut response, StatusCode::UNAUTHORIZED);
+    }
+    let Ok(Some(frame)) = codec::decode(&mut body) else {
         return refuse(&mut response, StatusCode::BAD_REQUEST);
     };
     let Ok(stream) = response.send_response(Response::new(()), false) else { return };
     let (queue, frames) = mpsc::channel(REPLY_QUEUE_FRAMES);
     let mut pump = pin!(pump(stream, frames));
     tokio::select! {
-        () = handler.handle(caller, frame, Sender { queue }) => pump.await,
+        () = port.handler.handle(caller, frame, Sender { queue }) => pump.await,
         () = &mut pump => {}
     }
 }
@@ -168,15 +242,15 @@
     }
 }
 
-async fn first_frame(mut body: RecvStream) -> Result<Option<Frame>, Error> {
+async fn whole(mut body: RecvStream) -> Result<BytesMut, Error> {
     let mut buffer = BytesMut::new();
     while let Some(chunk) = body.data().await {
         let chunk = chunk?;
         body.flow_control().release_capacity(chunk.len())?;
-        buffer.extend_from_slice(&chunk);
-        if let Some(frame) = codec::decode(&mut buffer)? {
-            return Ok(Some(frame));
+        if buffer.len() + chunk.len() > codec::MAX_FRAME_BYTES {
+            return Err(Error::Unexpected);
         }
+        buffer.extend_from_slice(&chunk);
     }
-    Ok(None)
+    Ok(buffer)
 }
--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -4,7 +4,7 @@
     Frame,
     frame::{Done, Hello, Hint, Token},
     link::{
-        auth::Key,
+        auth::{Admission, Key, Refusal, seal, seal_call, verify_call},
         client::Client,
         server::{Handler, Sender, serve},
     },
@@ -75,3 +75,47 @@
     let error = client.ask(&Hint { version: 1 }.into()).await.expect_err("refused");
     assert!(matches!(error, filbertsail_wire::link::Error::Refused(401)), "{error}");
 }
+
+/// Guards against a recorded identity that opens a second connection, now or later.
+#[test]
+fn can_refuse_a_replayed_identity() {
+    let (key, admission) = (Key::new(vec![1; 32]), Admission::default());
+    let now = 1_000_000;
+    let identity = |sent_at_ms, byte| {
+        seal(&key, &Hello { sent_at_ms, nonce: [byte; 16], ..hello() }).expect("seals")
+    };
+    assert!(admission.admit(&key, &identity(now, 1), now).is_ok());
+    assert_eq!(admission.admit(&key, &identity(now, 1), now + 59_000), Err(Refusal::Replay));
+    assert_eq!(admission.admit(&key, &identity(now, 1), now + 120_000), Err(Refusal::Replay));
+    assert!(admission.admit(&key, &identity(now, 2), now).is_ok());
+    let stranger = Key::new(vec![2; 32]);
+    assert_eq!(admission.admit(&stranger, &identity(now, 3), now), Err(Refusal::Stranger));
+    assert_eq!((admission.refused(Refusal::Replay), admission.refused(Refusal::Stranger)), (2, 1));
+}
+
+/// Guards against a call that is repeated under another number or altered on its way.
+#[test]
+fn can_tie_a_code_to_number_and_request() {
+    let (key, nonce) = (Key::new(vec![1; 32]), [9; 16]);
+    let text = seal_call(&key, &nonce, 7, b"request");
+    let code = text.strip_prefix("7-").expect("number");
+    assert!(verify_call(&key, &nonce, 7, b"request", code));
+    assert!(!verify_call(&key, &nonce, 8, b"request", code));
+    assert!(!verify_call(&key, &nonce, 7, b"requesT", code));
+    assert!(!verify_call(&key, &[8; 16], 7, b"request", code));
+}
+
+/// Guards against calls that overtake each other on one connection and count as replays.
+#[tokio::test]
+async fn can_call_from_many_tasks_at_once() {
+    let (address, _stop) = start().await;
+    let client = Client::new(address, &Key::new(vec![1; 32]), &hello()).expect("client");
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..200 {
+        let client = client.clone();
+        calls.spawn(async move { client.ask(&Hint { version: 0 }.into()).await });
+    }
+    for reply in calls.join_all().await {
+        assert_eq!(reply.expect("reply"), Frame::Done(Done));
+    }
+}
