--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,3 +1,5 @@
 //! Logs and metrics: one line of key=value pairs per event, and `opentelemetry` metrics.
 
 pub mod event;
+pub mod logs;
+pub mod metrics;
