Add the admin handler: health, metrics and the administration API

Generic over the traits Health and Fleet, so that controllers serve the probes alone. The token is checked before the body is read; tests over real sockets show that 401 and 403 change nothing.

--- /dev/null
+++ b/components/admin/src/handler/mod.rs
@@ -0,0 +1,157 @@
+//! Handler of a gateway's admin port.
+
+pub mod probe;
+
+use std::{error::Error, net::SocketAddr, sync::Arc};
+
+use filbertsail_errors::Verdict;
+use filbertsail_http::{
+    Body, server,
+    token::{Role, Table},
+};
+use filbertsail_telemetry::metrics::Registry;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use probe::Probe;
+use serde::de::DeserializeOwned;
+
+use crate::{Fleet, answer};
+
+/// Largest request body in bytes. An inventory of 1,000 workers takes about 150 KiB.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+const READERS: [Role; 2] = [Role::Operator, Role::Reader];
+const OPERATORS: [Role; 1] = [Role::Operator];
+
+/// Handler with health, metrics and the administration API.
+#[derive(Clone, Debug)]
+pub struct Handler<F> {
+    fleet: F,
+    probe: Probe<F>,
+}
+
+impl<F: Fleet> Handler<F> {
+    /// Handler for this fleet with these tokens and metrics.
+    #[must_use]
+    pub fn new(fleet: F, tokens: Arc<Table>, metrics: Registry) -> Self {
+        let probe = Probe::new(fleet.clone(), tokens, metrics);
+        Self { fleet, probe }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+        let method = request.method().as_str().to_owned();
+        let path = request.uri().path().to_owned();
+        let (allowed, roles) = match path.as_str() {
+            "/admin/v1/config" if method == "GET" => ("GET, PUT", READERS.as_slice()),
+            "/admin/v1/config" => ("GET, PUT", OPERATORS.as_slice()),
+            "/admin/v1/status" => ("GET", READERS.as_slice()),
+            "/admin/v1/drain" => ("POST", OPERATORS.as_slice()),
+            "/admin/v1/explain" => ("POST", READERS.as_slice()),
+            _ => return probe::not_found(),
+        };
+        if let Err(denied) = self.probe.tokens().require(request.headers(), roles) {
+            return answer::denied(denied);
+        }
+        match (path.as_str(), method.as_str()) {
+            ("/admin/v1/config", "GET") => self.head().await,
+            ("/admin/v1/config", "PUT") => self.apply(request).await,
+            ("/admin/v1/status", "GET") => answer::ok(&self.fleet.status().await),
+            ("/admin/v1/drain", "POST") => self.drain(request).await,
+            ("/admin/v1/explain", "POST") => self.explain(request).await,
+            _ => probe::wrong_method(allowed),
+        }
+    }
+
+    async fn head(&self) -> Response<Body> {
+        match self.fleet.head().await {
+            Some(head) => answer::ok(&head),
+            None => answer::fault(
+                StatusCode::NOT_FOUND,
+                "no_config",
+                "no configuration is known yet",
+                Verdict::NotRun,
+            ),
+        }
+    }
+
+    async fn apply(&self, request: Request<Incoming>) -> Response<Body> {
+        let apply: filbertsail_api::admin::Apply = match read(request).await {
+            Ok(apply) => apply,
+            Err(rejection) => return rejection.answer(),
+        };
+        if let Err(error) = filbertsail_config::inventory::Inventory::parse(&apply.text) {
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            return answer::fault(status, "invalid_config", error.to_string(), Verdict::NotRun);
+        }
+        match self.fleet.apply(apply).await {
+            Ok(applied) => answer::ok(&applied),
+            Err(refused) => answer::refused(&refused),
+        }
+    }
+
+    async fn drain(&self, request: Request<Incoming>) -> Response<Body> {
+        match read(request).await {
+            Ok(drain) => match self.fleet.drain(drain).await {
+                Ok(drained) => answer::ok(&drained),
+                Err(refused) => answer::refused(&refused),
+            },
+            Err(rejection) => rejection.answer(),
+        }
+    }
+
+    async fn explain(&self, request: Request<Incoming>) -> Response<Body> {
+        match read(request).await {
+            Ok(question) => match self.fleet.explain(question).await {
+                Ok(explanation) => answer::ok(&explanation),
+                Err(refused) => answer::refused(&refused),
+            },
+            Err(rejection) => rejection.answer(),
+        }
+    }
+}
+
+impl<F: Fleet> server::Handler for Handler<F> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let probe = self.probe.answer(request.method(), request.uri().path(), request.headers());
+        match probe {
+            Some(response) => response,
+            None => self.route(request).await,
+        }
+    }
+}
+
+/// Why a body gives no command.
+struct Rejection {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+}
+
+impl Rejection {
+    fn answer(self) -> Response<Body> {
+        answer::fault(self.status, self.code, self.message, Verdict::NotRun)
+    }
+}
+
+async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Rejection> {
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
+    let bytes = body.map_err(unreadable)?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|error| Rejection {
+        status: StatusCode::BAD_REQUEST,
+        code: "bad_json",
+        message: error.to_string(),
+    })
+}
+
+fn unreadable(error: Box<dyn Error + Send + Sync>) -> Rejection {
+    if error.is::<LengthLimitError>() {
+        let message = format!("the body exceeds {MAX_BODY_BYTES} bytes");
+        return Rejection {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            code: "body_too_large",
+            message,
+        };
+    }
+    let message = error.to_string();
+    Rejection { status: StatusCode::BAD_REQUEST, code: "bad_body", message }
+}
--- /dev/null
+++ b/components/admin/src/handler/probe.rs
@@ -0,0 +1,103 @@
+//! Health and metrics, which every daemon serves.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use filbertsail_errors::Verdict;
+use filbertsail_http::{
+    Body, server,
+    token::{Role, Table},
+};
+use filbertsail_telemetry::metrics::{self, Registry};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{Health, answer};
+
+/// Handler of a daemon without administration API.
+#[derive(Clone, Debug)]
+pub struct Probe<H> {
+    health: H,
+    tokens: Arc<Table>,
+    metrics: Registry,
+}
+
+impl<H: Health> Probe<H> {
+    /// Handler for the daemon with this health, tokens and metrics.
+    #[must_use]
+    pub fn new(health: H, tokens: Arc<Table>, metrics: Registry) -> Self {
+        Self { health, tokens, metrics }
+    }
+
+    /// Answer to `/healthz`, `/readyz` or `/metrics`; `None` for any other path.
+    pub(crate) fn answer(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Option<Response<Body>> {
+        let response = match path {
+            "/healthz" | "/readyz" | "/metrics" if method != Method::GET => wrong_method("GET"),
+            "/healthz" => plain(StatusCode::OK, "ok\n"),
+            "/readyz" => self.readiness(),
+            "/metrics" => self.metrics(headers),
+            _ => return None,
+        };
+        Some(response)
+    }
+
+    pub(crate) fn tokens(&self) -> &Table {
+        &self.tokens
+    }
+
+    fn readiness(&self) -> Response<Body> {
+        match self.health.unready() {
+            None => plain(StatusCode::OK, "ready\n"),
+            Some(reason) => plain(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+        }
+    }
+
+    fn metrics(&self, headers: &HeaderMap) -> Response<Body> {
+        if let Err(denied) = self.tokens.require(headers, &[Role::Operator, Role::Reader]) {
+            return answer::denied(denied);
+        }
+        match self.metrics.render() {
+            Ok(text) => typed(StatusCode::OK, metrics::CONTENT_TYPE, text),
+            Err(error) => answer::fault(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "internal",
+                format!("{error:#}"),
+                Verdict::Ran,
+            ),
+        }
+    }
+}
+
+impl<H: Health> server::Handler for Probe<H> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        self.answer(request.method(), request.uri().path(), request.headers())
+            .unwrap_or_else(not_found)
+    }
+}
+
+pub(crate) fn not_found() -> Response<Body> {
+    answer::fault(StatusCode::NOT_FOUND, "not_found", "no such path", Verdict::NotRun)
+}
+
+pub(crate) fn wrong_method(allowed: &'static str) -> Response<Body> {
+    let message = format!("the path allows {allowed}");
+    let status = StatusCode::METHOD_NOT_ALLOWED;
+    let mut response = answer::fault(status, "method_not_allowed", message, Verdict::NotRun);
+    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static(allowed));
+    response
+}
+
+fn plain(status: StatusCode, text: impl Into<Vec<u8>>) -> Response<Body> {
+    typed(status, "text/plain; charset=utf-8", text.into())
+}
+
+fn typed(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(Body::full(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/components/admin/tests/tokens.rs
@@ -0,0 +1,143 @@
+//! Access to the administration API over real sockets.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use filbertsail_admin::{Fleet, Handler, Health, Refused};
+use filbertsail_api::admin::{Answer, Applied, Apply, Drain, Drained, Head, Question, Status};
+use filbertsail_http::{
+    Body,
+    client::Client,
+    server::{Limits, serve},
+    token::Table,
+};
+use filbertsail_telemetry::metrics::Registry;
+use http::{Request, StatusCode};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+const TOKENS: &str = "operator-token-0001 operator ops\nreader-token-000001 reader r\n\
+                      trainer-token-00001 trainer t\n";
+
+/// Fleet that counts the changes it is asked for.
+#[derive(Clone, Default)]
+struct Counting {
+    changes: Arc<AtomicUsize>,
+}
+
+impl Health for Counting {
+    fn unready(&self) -> Option<String> {
+        Some("draining".to_owned())
+    }
+}
+
+impl Fleet for Counting {
+    async fn head(&self) -> Option<Head> {
+        None
+    }
+
+    async fn status(&self) -> Status {
+        Status {
+            gateway: "gateway-1".to_owned(),
+            ready: false,
+            config_version: 0,
+            table_reachable: true,
+            daemons: Vec::new(),
+            backends: Vec::new(),
+            leases: Vec::new(),
+        }
+    }
+
+    async fn apply(&self, _apply: Apply) -> Result<Applied, Refused> {
+        self.changes.fetch_add(1, Ordering::SeqCst);
+        Err(Refused::Unavailable("test".to_owned()))
+    }
+
+    async fn drain(&self, drain: Drain) -> Result<Drained, Refused> {
+        self.changes.fetch_add(1, Ordering::SeqCst);
+        Ok(Drained { name: drain.name, draining: drain.draining, in_flight: 0 })
+    }
+
+    async fn explain(&self, question: Question) -> Result<Answer, Refused> {
+        Err(Refused::NotFound(question.service))
+    }
+}
+
+async fn start(fleet: Counting) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("address");
+    let tokens = Arc::new(Table::parse(TOKENS).expect("tokens"));
+    let handler = Handler::new(fleet, tokens, Registry::new("gateway-1").expect("registry"));
+    tokio::spawn(serve(listener, Limits::default(), handler, CancellationToken::new()));
+    address
+}
+
+async fn call(
+    address: SocketAddr,
+    (method, path, body): (&str, &str, &str),
+    token: Option<&str>,
+) -> (StatusCode, String) {
+    let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+    if let Some(token) = token {
+        request = request.header("authorization", format!("Bearer {token}"));
+    }
+    let request = request.body(Body::full(body.to_owned())).expect("request");
+    let response = Client::default().send(request, Duration::from_secs(10)).await.expect("answer");
+    (response.status(), String::from_utf8_lossy(response.body()).into_owned())
+}
+
+const DRAIN: (&str, &str, &str) =
+    ("POST", "/admin/v1/drain", r#"{"name":"advisor-1","draining":true}"#);
+const APPLY: (&str, &str, &str) = ("PUT", "/admin/v1/config", r#"{"text":"","author":"ops"}"#);
+
+/// Guards against a change by a caller without an operator's token.
+#[tokio::test]
+async fn can_refuse_without_a_change() {
+    let fleet = Counting::default();
+    let address = start(fleet.clone()).await;
+    for command in [DRAIN, APPLY] {
+        assert_eq!(call(address, command, None).await.0, StatusCode::UNAUTHORIZED);
+        let wrong = call(address, command, Some("operator-token-0002")).await;
+        assert_eq!(wrong.0, StatusCode::UNAUTHORIZED);
+        for token in ["reader-token-000001", "trainer-token-00001"] {
+            let (status, body) = call(address, command, Some(token)).await;
+            assert_eq!(status, StatusCode::FORBIDDEN);
+            assert!(body.contains(r#""verdict":"not_run""#), "{body}");
+        }
+    }
+    assert_eq!(fleet.changes.load(Ordering::SeqCst), 0);
+    assert_eq!(call(address, DRAIN, Some("operator-token-0001")).await.0, StatusCode::OK);
+    assert_eq!(fleet.changes.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a configuration that no daemon could follow.
+#[tokio::test]
+async fn can_refuse_a_faulty_configuration() {
+    let fleet = Counting::default();
+    let address = start(fleet.clone()).await;
+    let (status, body) = call(address, APPLY, Some("operator-token-0001")).await;
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{body}");
+    assert_eq!(fleet.changes.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against a health check that needs a token, or metrics and status that need none.
+#[tokio::test]
+async fn can_answer_probes_without_a_token() {
+    let address = start(Counting::default()).await;
+    assert_eq!(call(address, ("GET", "/healthz", ""), None).await.0, StatusCode::OK);
+    let ready = call(address, ("GET", "/readyz", ""), None).await;
+    assert_eq!(ready, (StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned()));
+    for path in ["/metrics", "/admin/v1/status"] {
+        assert_eq!(call(address, ("GET", path, ""), None).await.0, StatusCode::UNAUTHORIZED);
+        let reader = call(address, ("GET", path, ""), Some("reader-token-000001")).await;
+        assert_eq!(reader.0, StatusCode::OK);
+        let trainer = call(address, ("GET", path, ""), Some("trainer-token-00001")).await;
+        assert_eq!(trainer.0, StatusCode::FORBIDDEN);
+    }
+}
