--- /dev/null
+++ b/components/standin/src/object/mod.rs
@@ -0,0 +1,119 @@
+//! Object store with conditional create.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use filbertsail_clock::{Boot, Source};
+use filbertsail_http::Body;
+use http::{Method, Request, Response, StatusCode, header};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    fault,
+    server::{self, Closed, Handler, Place, text},
+    table::{Bucket, Options},
+};
+
+#[derive(Debug)]
+struct State {
+    objects: BTreeMap<String, Bytes>,
+    writes: Bucket,
+    reads: Bucket,
+}
+
+/// Running object store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Address.
+    pub address: SocketAddr,
+    /// Faults.
+    pub faults: fault::Handle,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    state: Arc<Mutex<State>>,
+    latency: Duration,
+}
+
+/// Starts an object store.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub fn start(
+    address: SocketAddr,
+    options: Options,
+    place: Place,
+    stop: CancellationToken,
+) -> eyre::Result<Store> {
+    let now = Boot.now();
+    let state = Arc::new(Mutex::new(State {
+        objects: BTreeMap::new(),
+        writes: Bucket::new(options.writes_per_s, now),
+        reads: Bucket::new(options.reads_per_s, now),
+    }));
+    let faults = fault::Handle::new(2);
+    let handler = Server { state: state.clone(), latency: options.latency };
+    let address = server::start(address, place, faults.clone(), handler, stop)?;
+    Ok(Store { address, faults, state })
+}
+
+impl Store {
+    /// Keys of all objects.
+    #[must_use]
+    pub fn keys(&self) -> Vec<String> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.objects.keys().cloned().collect()
+    }
+}
+
+impl Server {
+    fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
+        let Some(key) = request.uri().path().strip_prefix("/o/") else {
+            return text(StatusCode::NOT_FOUND, "no such path");
+        };
+        let now = Boot.now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let read = request.method() == Method::GET;
+        let allowed = if read { state.reads.take(now) } else { state.writes.take(now) };
+        if !allowed {
+            return text(StatusCode::TOO_MANY_REQUESTS, "rate limit");
+        }
+        match *request.method() {
+            Method::GET => match state.objects.get(key) {
+                Some(body) => Response::new(Body::full(body.clone())),
+                None => text(StatusCode::NOT_FOUND, "no such object"),
+            },
+            Method::PUT => {
+                let create = request.headers().contains_key(header::IF_NONE_MATCH);
+                if create && state.objects.contains_key(key) {
+                    return text(StatusCode::PRECONDITION_FAILED, "object exists");
+                }
+                state.objects.insert(key.to_owned(), request.body().clone());
+                text(StatusCode::OK, "")
+            }
+            Method::DELETE => {
+                state.objects.remove(key);
+                text(StatusCode::OK, "")
+            }
+            _ => text(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE"),
+        }
+    }
+}
+
+impl Handler for Server {
+    async fn handle(
+        &self,
+        request: Request<Bytes>,
+        _fault: Option<fault::Kind>,
+    ) -> Result<Response<Body>, Closed> {
+        tokio::time::sleep(self.latency).await;
+        Ok(self.answer(&request))
+    }
+}
