Add gateway: request path with verdicts, completions, peer calls

Callers need /v1/completions and /s/<service>/<path>; controllers need Dispatch, Order and Survey. The gateway owns its connections to backend servers and derives the verdict of a failed request from what was written and read.

--- a/components/config/src/inventory/mod.rs
+++ b/components/config/src/inventory/mod.rs
@@ -123,6 +123,12 @@
     /// Paths, by prefix, whose `POST` and `PATCH` calls may be repeated.
     #[serde(default)]
     pub idempotent_paths: Vec<String>,
+    /// Paths, by prefix, whose `PUT` and `DELETE` calls must not be repeated.
+    #[serde(default)]
+    pub unrepeatable_paths: Vec<String>,
+    /// Workers speak HTTP/2 without TLS.
+    #[serde(default)]
+    pub http2: bool,
     /// Largest concurrency of one worker.
     #[serde(default = "default_concurrency")]
     pub max_concurrency: u32,
--- /dev/null
+++ b/components/gateway/src/callers/application.rs
@@ -0,0 +1,53 @@
+//! Requests to application services.
+
+use config::inventory::Kind;
+use filbertsail_config as config;
+use filbertsail_http::Body;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use super::{Callers, intake};
+use crate::{
+    fault::Fault,
+    proxy::{self, Content, Plan, Reply, headers},
+};
+
+pub(super) async fn handle(
+    callers: &Callers,
+    request: Request<Incoming>,
+    service: &str,
+    team: String,
+    id: &str,
+) -> Result<Response<Body>, Fault> {
+    let unknown = || Fault::refused(StatusCode::NOT_FOUND, "unknown_service", "no such service");
+    let service = callers.context.router.service(service).ok_or_else(unknown)?;
+    if service.kind != Kind::Application {
+        return Err(unknown());
+    }
+    let (head, body) = request.into_parts();
+    let deadline = callers.deadline(&head.headers, service.timeout_ms);
+    let prefix = "/s/".len() + service.name.len();
+    let path = head.uri.path_and_query().map_or("", |path| &path.as_str()[prefix..]);
+    let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
+    let mut headers = head.headers;
+    headers::strip_request(&mut headers);
+    let plan = Plan {
+        request_id: id.to_owned(),
+        service,
+        team,
+        method: head.method,
+        path,
+        headers,
+        body: intake::body(body).await?,
+        deadline,
+    };
+    proxy::execute(&callers.context, &plan).await.map(respond)
+}
+
+fn respond(reply: Reply) -> Response<Body> {
+    let body = match reply.body {
+        Content::Buffered(bytes) => Body::full(bytes),
+        Content::Streamed(body) => body,
+    };
+    Response::from_parts(reply.head, body)
+}
--- /dev/null
+++ b/components/gateway/src/callers/mod.rs
@@ -0,0 +1,74 @@
+//! Handler of the callers' port.
+
+mod application;
+mod completion;
+mod intake;
+
+use std::net::SocketAddr;
+
+use clock::Instant;
+use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER};
+use filbertsail_clock as clock;
+use filbertsail_errors as errors;
+use filbertsail_http::{Body, server::Handler};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::watch;
+
+use crate::{context::Context, fault::Fault, security::Tokens};
+
+/// Handler of the callers' port.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    /// Shared state.
+    pub context: Context,
+    /// Bearer tokens.
+    pub tokens: Tokens,
+    /// Whether an inventory is in force and may be used.
+    pub ready: watch::Receiver<bool>,
+}
+
+impl Handler for Callers {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let id = self.context.request_id();
+        let mut response = match self.route(request, &id).await {
+            Ok(response) => response,
+            Err(fault) => fault.response(Some(&id)),
+        };
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        response
+    }
+}
+
+impl Callers {
+    async fn route(&self, request: Request<Incoming>, id: &str) -> Result<Response<Body>, Fault> {
+        let team = self.tokens.customer(request.headers())?;
+        if !*self.ready.borrow() {
+            let message = "no configuration in force";
+            return Err(Fault::refused(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message));
+        }
+        let path = request.uri().path();
+        if let Some(rest) = path.strip_prefix("/s/") {
+            let service = rest.split('/').next().unwrap_or_default().to_owned();
+            return application::handle(self, request, &service, team, id).await;
+        }
+        match (request.method(), path) {
+            (&Method::POST, "/v1/completions") => {
+                completion::handle(self, request, team, id, false).await
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                completion::handle(self, request, team, id, true).await
+            }
+            _ => Err(Fault::refused(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
+        }
+    }
+
+    /// Deadline of a request: the caller's own, at most the service's time limit.
+    fn deadline(&self, headers: &HeaderMap, timeout_ms: u64) -> Instant {
+        let own = headers.get(DEADLINE_HEADER).and_then(|value| value.to_str().ok()?.parse().ok());
+        let left = own.unwrap_or(timeout_ms).min(timeout_ms);
+        self.context.now().after(std::time::Duration::from_millis(left))
+    }
+}
--- /dev/null
+++ b/components/gateway/src/generate/mod.rs
@@ -0,0 +1,198 @@
+//! Completions: one engine stream after another until the answer is whole.
+//!
+//! The engine always streams, so that every token is checked as it arrives. A broken stream goes
+//! on at another worker from its last token if the service allows it. Otherwise an answer of which
+//! the caller has seen nothing starts again from the first token.
+
+mod attempt;
+mod progress;
+
+use std::{sync::Arc, time::Duration};
+
+use clock::Instant;
+use config::inventory::{Class, Service as Entry};
+use errors::Verdict;
+use filbertsail_api::engine::{Event, Label};
+use filbertsail_clock as clock;
+use filbertsail_config as config;
+use filbertsail_errors as errors;
+use filbertsail_routing::state::Outcome;
+use http::StatusCode;
+use tokio::{sync::mpsc, time};
+
+use self::progress::Progress;
+use crate::{
+    backend::{Failure, Kind},
+    context::Context,
+    fault::Fault,
+    prompt,
+    router::{Admission, Grant},
+};
+
+/// Most attempts at one answer.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// What to generate.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Request identifier towards the caller.
+    pub request_id: String,
+    /// Service.
+    pub service: Arc<Entry>,
+    /// Class of work.
+    pub class: Class,
+    /// Team that shares with others.
+    pub team: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Largest number of tokens.
+    pub max_tokens: u32,
+    /// Priority within the class.
+    pub priority: u32,
+    /// Oldest weight version allowed.
+    pub min_version: Option<u64>,
+    /// Workers to leave out if others are eligible.
+    pub avoid: Vec<String>,
+    /// When an answer is of no use any more.
+    pub deadline: Instant,
+    /// The caller wants each token as it arrives.
+    pub streams: bool,
+}
+
+/// Whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Whole {
+    /// Worker that finished it.
+    pub worker: String,
+    /// Whole text.
+    pub text: String,
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Weight versions by token range, from the tokens themselves.
+    pub labels: Vec<Label>,
+    /// stop, length or cancelled.
+    pub reason: String,
+}
+
+/// Part of an answer on its way to the caller.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// Token, if the plan streams.
+    Token(Event),
+    /// End; the answer is whole.
+    Whole(Whole),
+    /// End; the answer is not whole.
+    Fault(Fault),
+}
+
+/// Generates an answer; ends early when the receiver of `sink` is dropped.
+pub async fn run(context: &Context, plan: &Plan, sink: mpsc::Sender<Item>) {
+    let result = tokio::select! {
+        () = sink.closed() => return,
+        result = attempts(context, plan, &sink) => result,
+    };
+    let last = match result {
+        Ok(whole) => Item::Whole(whole),
+        Err(fault) => Item::Fault(fault),
+    };
+    // Fails if the caller is gone.
+    let _ = sink.send(last).await;
+}
+
+async fn attempts(
+    context: &Context,
+    plan: &Plan,
+    sink: &mpsc::Sender<Item>,
+) -> Result<Whole, Fault> {
+    let mut progress = Progress::default();
+    let mut avoid = plan.avoid.clone();
+    let mut verdict = Verdict::NotRun;
+    for number in 0.. {
+        let admission = admission(plan, &avoid, number > 0);
+        let grant = context.router.admit(admission).await;
+        let grant = grant.map_err(|refusal| Fault::from(refusal).after(verdict))?;
+        let started = context.now();
+        let worker = grant.server.name.clone();
+        let failure = match attempt_in_time(context, plan, &grant, &mut progress, sink).await {
+            Ok(reason) => {
+                grant.finish(Outcome::Success { took: context.now().since(started) });
+                return Ok(progress.whole(worker, reason));
+            }
+            Err(failure) => failure,
+        };
+        grant.finish(outcome(&failure));
+        verdict = verdict.and(failure.verdict);
+        let again = number + 1 < MAX_ATTEMPTS
+            && failure.kind != Kind::Malformed
+            && !context.left(plan.deadline).is_zero()
+            && prepare_next(plan, &mut progress);
+        if !again {
+            return Err(fault(&failure).after(verdict));
+        }
+        avoid.push(worker);
+    }
+    unreachable!("the loop ends by return")
+}
+
+/// Whether another attempt can continue or start again.
+fn prepare_next(plan: &Plan, progress: &mut Progress) -> bool {
+    if progress.tokens() == 0 || plan.service.resumes_streams {
+        return true;
+    }
+    if plan.streams {
+        return false;
+    }
+    *progress = Progress::default();
+    true
+}
+
+fn admission(plan: &Plan, avoid: &[String], retry: bool) -> Admission {
+    Admission {
+        request_id: plan.request_id.clone(),
+        service: plan.service.name.clone(),
+        class: plan.class,
+        team: plan.team.clone(),
+        cost: u64::from(plan.max_tokens),
+        priority: plan.priority,
+        min_version: plan.min_version,
+        prefixes: prompt::prefixes(&plan.prompt),
+        avoid: avoid.to_vec(),
+        deadline: plan.deadline,
+        retry,
+    }
+}
+
+async fn attempt_in_time(
+    context: &Context,
+    plan: &Plan,
+    grant: &Grant,
+    progress: &mut Progress,
+    sink: &mpsc::Sender<Item>,
+) -> Result<String, Failure> {
+    let left: Duration = context.left(plan.deadline);
+    let sink = plan.streams.then_some(sink);
+    time::timeout(left, attempt::run(context, plan, grant, progress, sink))
+        .await
+        .unwrap_or_else(|_| Err(Failure::sent(Kind::TimedOut, "deadline passed")))
+}
+
+/// What a failure says about the worker.
+pub(crate) fn outcome(failure: &Failure) -> Outcome {
+    match failure.kind {
+        Kind::Refused => Outcome::Overload,
+        Kind::Malformed => Outcome::Abandoned,
+        _ if failure.stale_connection => Outcome::Abandoned,
+        _ => Outcome::Failure,
+    }
+}
+
+/// Fault of a request whose last attempt failed.
+pub(crate) fn fault(failure: &Failure) -> Fault {
+    let status = match failure.kind {
+        Kind::Malformed => StatusCode::BAD_REQUEST,
+        Kind::Refused => StatusCode::SERVICE_UNAVAILABLE,
+        Kind::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    Fault::new(status, failure.kind.code(), failure.message.clone(), failure.verdict)
+}
--- a/components/gateway/src/main.rs
+++ b/components/gateway/src/main.rs
@@ -1,3 +1,3 @@
-//! Under construction.
+//! Gateway daemon.
 
 fn main() {}
--- /dev/null
+++ b/components/gateway/src/monitor/mod.rs
@@ -0,0 +1,145 @@
+//! Observation of backend servers: load reports, cache events and the VM list.
+
+use std::{collections::HashMap, time::Duration};
+
+use clock::Source as _;
+use config::inventory::Kind;
+use filbertsail_api::engine::{CacheEvents, Change, Load};
+use filbertsail_clock as clock;
+use filbertsail_config as config;
+use filbertsail_platform::vm;
+use filbertsail_routing::{prefix, state::Report};
+use http::{HeaderMap, Method, StatusCode};
+use serde::de::DeserializeOwned;
+use tokio::{
+    task::JoinSet,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    backend::{Call, Server, body},
+    router::{CacheEvent, Router, Source, Target},
+};
+
+/// Interval of load reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time limit of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval of reads of the VM list.
+const VM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Observes all workers of the inventory; ends when it is dropped.
+pub async fn workers(router: Router) {
+    let mut targets = router.targets();
+    loop {
+        let mut tasks = JoinSet::new();
+        for target in targets.borrow_and_update().iter() {
+            tasks.spawn(worker(router.clone(), target.clone()));
+        }
+        if targets.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn worker(router: Router, target: Target) {
+    let mut interval = time::interval(REPORT_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut next_event = 0;
+    loop {
+        interval.tick().await;
+        if !target.service.reports_load {
+            continue;
+        }
+        let path = match target.service.kind {
+            Kind::Model => "/v1/load",
+            Kind::Application => "/load",
+        };
+        let load: Option<Load> = get(&target.server, path.to_owned()).await;
+        match load {
+            Some(load) => router.report(&target.name, report(&load)),
+            None => router.contact(&target.name, false),
+        }
+        if target.service.kind == Kind::Model {
+            let path = format!("/v1/cache-events?after={next_event}");
+            let events: Option<CacheEvents> = get(&target.server, path).await;
+            if let Some(events) = events {
+                next_event = events.next;
+                forward_events(&router, &target.name, events);
+            }
+        }
+    }
+}
+
+fn report(load: &Load) -> Report {
+    Report {
+        taken_at: clock::Boot.now().before(Duration::from_millis(load.age_ms)),
+        incarnation: load.incarnation,
+        running: load.running,
+        queued: load.queued,
+        capacity: load.capacity,
+        weight_version: load.weight_version,
+        leaving: load.leaving,
+    }
+}
+
+fn forward_events(router: &Router, worker: &str, events: CacheEvents) {
+    let changes = events.events.into_iter().map(|event| CacheEvent {
+        seq: event.seq,
+        change: match event.change {
+            Change::Stored => prefix::Change::Stored,
+            Change::Evicted => prefix::Change::Evicted,
+        },
+        prefix: event.prefix,
+    });
+    router.cache(worker, changes.collect(), events.next);
+}
+
+/// Body of a successful `GET`; `None` if there is none in time.
+async fn get<T: DeserializeOwned>(server: &Server, path: String) -> Option<T> {
+    let call = Call {
+        method: Method::GET,
+        path,
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        idempotent: true,
+    };
+    let exchange = async {
+        let answer = server.send(&call).await.ok()?;
+        let (head, whole) = body::read(answer).await.ok()?;
+        match whole {
+            body::Whole::Buffered(bytes) if head.status == StatusCode::OK => {
+                serde_json::from_slice(&bytes).ok()
+            }
+            _ => None,
+        }
+    };
+    time::timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
+}
+
+/// Reads the VM list; keeps the last one while it is down.
+pub async fn vm_list<L: vm::List>(router: Router, list: L) {
+    let mut interval = time::interval(VM_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if let Ok(list) = list.read().await {
+            router.leaving(Source::VmList, leaving(&list, &router));
+        }
+    }
+}
+
+/// Workers whose VM is leaving, matched by name or address.
+fn leaving(list: &filbertsail_api::vm::List, router: &Router) -> Vec<String> {
+    let targets = router.targets();
+    let targets = targets.borrow();
+    let by_address: HashMap<String, &str> =
+        targets.iter().map(|it| (it.server.address.to_string(), &*it.name)).collect();
+    list.vms
+        .iter()
+        .filter(|vm| vm.state == filbertsail_api::vm::State::Leaving)
+        .flat_map(|vm| [Some(vm.name.as_str()), by_address.get(&vm.address).copied()])
+        .flatten()
+        .map(str::to_owned)
+        .collect()
+}
--- /dev/null
+++ b/components/gateway/src/peer/mod.rs
@@ -0,0 +1,182 @@
+//! Handler of the peer port: samples, orders and surveys of controllers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::inventory::{Class, Kind};
+use errors::{REQUEST_ID_HEADER, Verdict};
+use filbertsail_api::engine;
+use filbertsail_config as config;
+use filbertsail_errors as errors;
+use filbertsail_wire::{
+    Frame,
+    frame::{Dispatch, Finish, Hello, Label, Order, Outcome, Survey, Token, Workers},
+    link::server::{Handler, Sender},
+};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    backend::{Call, Failure, Kind as FailureKind, body},
+    context::Context,
+    fault::Fault,
+    generate::{self, Item, Plan, fault},
+};
+
+/// Tokens that wait for the link's flow control.
+const QUEUED_TOKENS: usize = 64;
+/// Longest time for an engine to answer an order; a weight swap takes place after the answer.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Handler of the peer port.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    /// Shared state.
+    pub context: Context,
+}
+
+impl Handler for Peers {
+    async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
+        let reply: Frame = match request {
+            Frame::Dispatch(dispatch) => return self.dispatch(dispatch, replies).await,
+            Frame::Order(order) => match self.order(order).await {
+                Ok(outcome) => outcome.into(),
+                Err(fault) => fault.frame().into(),
+            },
+            Frame::Survey(Survey { service }) => {
+                Workers { workers: self.context.router.survey(&service).await }.into()
+            }
+            _ => Fault::refused(StatusCode::NOT_FOUND, "unknown_call", "not for a gateway")
+                .frame()
+                .into(),
+        };
+        // Fails if the caller is gone.
+        let _ = replies.send(reply).await;
+    }
+}
+
+impl Peers {
+    async fn dispatch(&self, dispatch: Dispatch, mut replies: Sender) {
+        let plan = match self.plan(dispatch) {
+            Ok(plan) => plan,
+            Err(fault) => {
+                let _ = replies.send(fault.frame()).await;
+                return;
+            }
+        };
+        let (sink, mut items) = mpsc::channel(QUEUED_TOKENS);
+        let forward = async {
+            while let Some(item) = items.recv().await {
+                if replies.send(reply(item)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::join!(generate::run(&self.context, &plan, sink), forward);
+    }
+
+    fn plan(&self, dispatch: Dispatch) -> Result<Plan, Fault> {
+        let service = self.context.router.service(&dispatch.service);
+        let service = service.filter(|service| service.kind == Kind::Model).ok_or_else(|| {
+            Fault::refused(StatusCode::NOT_FOUND, "unknown_service", "no such model")
+        })?;
+        Ok(Plan {
+            request_id: dispatch.request_id,
+            service,
+            class: Class::Rollout,
+            team: dispatch.team,
+            prompt: dispatch.prompt,
+            max_tokens: dispatch.max_tokens,
+            priority: dispatch.priority,
+            min_version: dispatch.min_version,
+            avoid: dispatch.avoid,
+            deadline: self.context.now().after(Duration::from_millis(dispatch.deadline_ms)),
+            streams: true,
+        })
+    }
+
+    async fn order(&self, order: Order) -> Result<Outcome, Fault> {
+        let targets = self.context.router.targets();
+        let server = {
+            let targets = targets.borrow();
+            targets.iter().find(|it| it.name == order.worker).map(|it| it.server.clone())
+        };
+        let server = server.ok_or_else(|| {
+            Fault::refused(StatusCode::NOT_FOUND, "unknown_worker", "no such worker")
+        })?;
+        let limit = ORDER_TIMEOUT.min(Duration::from_millis(order.life_ms));
+        let call = order_call(&self.context.request_id(), &order).map_err(|it| fault(&it))?;
+        let exchange = async {
+            let answer = server.send(&call).await?;
+            let (head, whole) = body::read(answer).await?;
+            outcome(head.status, whole)
+        };
+        time::timeout(limit, exchange)
+            .await
+            .unwrap_or_else(|_| Err(Failure::sent(FailureKind::TimedOut, "no answer in time")))
+            .map_err(|failure| fault(&failure))
+    }
+}
+
+fn order_call(id: &str, order: &Order) -> Result<Call, Failure> {
+    let malformed = |message: String| Failure::unsent(FailureKind::Malformed, message);
+    let body = engine::Order {
+        epoch: order.epoch,
+        id: order.id.clone(),
+        life_ms: order.life_ms,
+        load_version: order.load_version,
+        scope: order.scope.clone(),
+    };
+    let body = serde_json::to_vec(&body).map_err(|error| malformed(error.to_string()))?;
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let id = HeaderValue::from_str(id).map_err(|error| malformed(error.to_string()))?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    let path = "/v1/orders".to_owned();
+    // Orders declare an end state, so that a repeated one does no harm.
+    Ok(Call { method: Method::POST, path, headers, body: Bytes::from(body), idempotent: true })
+}
+
+/// An engine that refuses an order states its outcome in the body of the refusal as well.
+fn outcome(status: StatusCode, whole: body::Whole) -> Result<Outcome, Failure> {
+    let body::Whole::Buffered(bytes) = whole else {
+        return Err(Failure::sent(FailureKind::Mismatched, "answer too large"));
+    };
+    let parsed: Result<engine::Outcome, _> = serde_json::from_slice(&bytes);
+    match parsed {
+        Ok(it) => Ok(Outcome {
+            accepted: it.accepted && status.is_success(),
+            weight_version: it.weight_version,
+            epoch: it.epoch,
+        }),
+        Err(_) if status.is_client_error() => Err(Failure::new(
+            FailureKind::Refused,
+            Verdict::NotRun,
+            format!("engine answered {status}"),
+        )),
+        Err(error) => {
+            Err(Failure::sent(FailureKind::Status, format!("engine answered {status}: {error}")))
+        }
+    }
+}
+
+fn reply(item: Item) -> Frame {
+    match item {
+        Item::Token(event) => {
+            Token { index: event.index, text: event.text, weight_version: event.weight_version }
+                .into()
+        }
+        Item::Whole(whole) => Finish {
+            worker: whole.worker,
+            tokens: whole.tokens,
+            labels: whole
+                .labels
+                .iter()
+                .map(|label| Label { version: label.version, from: label.from, to: label.to })
+                .collect(),
+            text: whole.text,
+        }
+        .into(),
+        Item::Fault(fault) => fault.frame().into(),
+    }
+}
--- /dev/null
+++ b/components/gateway/src/router/report.rs
@@ -0,0 +1,124 @@
+//! What the routing task learns from workers and tells others.
+
+use api::admin::{Answer, Backend, Candidate, Question};
+use config::inventory::Class;
+use filbertsail_api as api;
+use filbertsail_clock as clock;
+use filbertsail_config as config;
+use filbertsail_routing::{
+    breaker,
+    policy::{self, Policy, Standing},
+    state::Request,
+};
+use filbertsail_wire::frame;
+
+use super::{CacheEvent, task::Task};
+use crate::prompt;
+
+impl<P: Policy, C: clock::Source> Task<P, C> {
+    pub(super) fn contact(&mut self, worker: &str, reached: bool) {
+        let Some(key) = self.fleet.worker_key(worker) else { return };
+        if let Some(worker) = self.fleet.worker_mut(key) {
+            worker.unreachable = if reached { 0 } else { worker.unreachable.saturating_add(1) };
+        }
+    }
+
+    pub(super) fn cache(&mut self, worker: &str, events: &[CacheEvent], next: u64) {
+        let Some(key) = self.fleet.worker_key(worker) else { return };
+        if let Some(worker) = self.fleet.worker_mut(key) {
+            for event in events {
+                worker.prefixes.apply(event.seq, event.change, &event.prefix);
+            }
+            worker.prefixes.advance(next);
+        }
+    }
+
+    pub(super) fn survey(&self, service: &str) -> Vec<frame::Worker> {
+        let now = self.setup.clock.now();
+        let Some(service) = self.fleet.service_key(service) else { return Vec::new() };
+        let of_service = self.fleet.workers().filter(|(_, worker)| worker.service == service);
+        of_service
+            .map(|(_, worker)| {
+                let report = worker.load.report();
+                frame::Worker {
+                    name: worker.name.clone(),
+                    zone: self.fleet.zone(worker.zone).name.clone(),
+                    live: worker.is_live(),
+                    leaving: worker.marks.any(),
+                    running: report.map_or(0, |report| report.running),
+                    queued: report.map_or(0, |report| report.queued),
+                    capacity: report.map_or(0, |report| report.capacity),
+                    weight_version: worker.weight_version(now),
+                    age_ms: report.map_or(u64::MAX, |report| {
+                        u64::try_from(now.since(report.taken_at).as_millis()).unwrap_or(u64::MAX)
+                    }),
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn backends(&self) -> Vec<Backend> {
+        let now = self.setup.clock.now();
+        self.fleet
+            .workers()
+            .map(|(_, worker)| Backend {
+                name: worker.name.clone(),
+                service: self
+                    .fleet
+                    .service(worker.service)
+                    .map_or_else(String::new, |service| service.entry.name.clone()),
+                zone: self.fleet.zone(worker.zone).name.clone(),
+                live: worker.is_live(),
+                leaving: worker.marks.any(),
+                circuit: match worker.breaker.state() {
+                    breaker::State::Closed => "closed",
+                    breaker::State::Open { .. } => "open",
+                    breaker::State::HalfOpen { .. } => "half_open",
+                }
+                .to_owned(),
+                in_flight: worker.load.in_flight(),
+                limit: worker.limit.get(),
+                weight_version: worker.weight_version(now),
+            })
+            .collect()
+    }
+
+    pub(super) fn explain(&mut self, question: &Question) -> Option<Answer> {
+        let now = self.setup.clock.now();
+        let prefixes = question.prompt.as_deref().map(prompt::prefixes).unwrap_or_default();
+        let request = Request {
+            service: self.fleet.service_key(&question.service)?,
+            class: match question.class.as_deref() {
+                Some("rollout") => Class::Rollout,
+                _ => Class::Customer,
+            },
+            min_version: question.min_version,
+            prefixes: &prefixes,
+            avoid: &[],
+        };
+        let choice = self.setup.policy.choose(&self.fleet, &request, now, &mut self.rng);
+        let standings = policy::explain(&self.fleet, &request, now);
+        let chosen = choice.and_then(|choice| self.fleet.worker(choice.worker));
+        Some(Answer {
+            candidates: standings.iter().filter_map(|it| self.candidate(it)).collect(),
+            chosen: chosen.map(|worker| worker.name.clone()),
+            reason: choice.map_or_else(
+                || "no_eligible_worker".to_owned(),
+                |choice| choice.reason.to_string(),
+            ),
+        })
+    }
+
+    fn candidate(&self, standing: &Standing) -> Option<Candidate> {
+        let worker = self.fleet.worker(standing.worker)?;
+        Some(Candidate {
+            name: worker.name.clone(),
+            zone: self.fleet.zone(worker.zone).name.clone(),
+            eligible: standing.obstacle.is_none(),
+            expected_wait_ms: Some(standing.wait_ms),
+            reason: standing
+                .obstacle
+                .map_or_else(|| "eligible".to_owned(), |obstacle| obstacle.to_string()),
+        })
+    }
+}
--- /dev/null
+++ b/components/gateway/src/router/task.rs
@@ -0,0 +1,327 @@
+//! The routing task.
+
+use std::{sync::Arc, time::Duration};
+
+use collections::{HashMap, arena::Key};
+use config::inventory::{Class, Inventory};
+use filbertsail_clock as clock;
+use filbertsail_collections as collections;
+use filbertsail_config as config;
+use filbertsail_routing::{
+    policy::{Choice, Policy},
+    queue::{Entry, Queue},
+    state::{Fleet, Outcome, Request, Service, Worker, inventory::Viewpoint},
+};
+use filbertsail_telemetry::event::Line;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+use super::{
+    Admission, Catalog, Grant, Message, Refusal, Setup, Source, Target, admission::Finished,
+};
+use crate::backend::Server;
+
+/// Waiting requests per service.
+const QUEUE_CAPACITY: usize = 4_096;
+/// Largest number of workers of a service that one gateway uses.
+const SUBSET_SIZE: usize = 64;
+/// Longest wait for a worker.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Interval at which deadlines and pauses of breakers are looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// Waiting requests without an eligible worker that are passed over in one go.
+const MAX_PASSED_OVER: usize = 64;
+
+pub(super) struct Outputs {
+    pub(super) catalog: watch::Sender<Arc<Catalog>>,
+    pub(super) targets: watch::Sender<Arc<[Target]>>,
+}
+
+type Reply = oneshot::Sender<Result<Grant, Refusal>>;
+
+struct Waiting {
+    admission: Admission,
+    avoid: Vec<Key<Worker>>,
+    reply: Reply,
+}
+
+pub(super) struct Task<P, C> {
+    pub(super) setup: Setup<P, C>,
+    pub(super) fleet: Fleet,
+    pub(super) rng: SmallRng,
+    servers: HashMap<Key<Worker>, Arc<Server>>,
+    queues: HashMap<Key<Service>, Queue<Waiting>>,
+    messages: mpsc::WeakUnboundedSender<Message>,
+    outputs: Outputs,
+}
+
+impl<P: Policy, C: clock::Source> Task<P, C> {
+    pub(super) fn new(
+        setup: Setup<P, C>,
+        messages: mpsc::WeakUnboundedSender<Message>,
+        outputs: Outputs,
+    ) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(setup.seed),
+            setup,
+            fleet: Fleet::default(),
+            servers: HashMap::default(),
+            queues: HashMap::default(),
+            messages,
+            outputs,
+        }
+    }
+
+    pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => {
+                    let Some(message) = message else { return };
+                    self.handle(message);
+                }
+                _ = tick.tick() => self.expire(),
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Admit(admission, reply) => self.admit(admission, reply),
+            Message::Finished(finished) => self.finished(&finished),
+            Message::Inventory(inventory) => self.take_over(&inventory),
+            Message::Report { worker, report } => {
+                if let Some(key) = self.fleet.worker_key(&worker) {
+                    self.fleet.reported(key, report);
+                    self.pump_of(key);
+                }
+            }
+            Message::Contact { worker, reached } => self.contact(&worker, reached),
+            Message::Cache { worker, events, next } => self.cache(&worker, &events, next),
+            Message::Leaving { source, names } => self.leaving(source, &names),
+            Message::Survey(service, reply) => {
+                let _ = reply.send(self.survey(&service));
+            }
+            Message::Explain(question, reply) => {
+                let _ = reply.send(self.explain(&question));
+            }
+            Message::Backends(reply) => {
+                let _ = reply.send(self.backends());
+            }
+        }
+    }
+
+    fn admit(&mut self, admission: Admission, reply: Reply) {
+        let Some(key) = self.fleet.service_key(&admission.service) else {
+            let _ = reply.send(Err(Refusal::UnknownService));
+            return;
+        };
+        if let Some(service) = self.fleet.service_mut(key) {
+            if !admission.retry {
+                service.budget.earn();
+            } else if !service.budget.take() {
+                let _ = reply.send(Err(Refusal::Budget));
+                return;
+            }
+        }
+        let avoid = admission.avoid.iter().filter_map(|name| self.fleet.worker_key(name)).collect();
+        let waiting = Waiting { admission, avoid, reply };
+        if self.queues.get(&key).is_none_or(Queue::is_empty) {
+            if let Some(waiting) = self.place(key, waiting) {
+                self.enqueue(key, waiting);
+            }
+        } else {
+            self.enqueue(key, waiting);
+            self.pump(key);
+        }
+    }
+
+    fn enqueue(&mut self, key: Key<Service>, waiting: Waiting) {
+        let latest = self.setup.clock.now().after(MAX_WAIT);
+        let entry = Entry {
+            priority: self.priority(key, &waiting.admission),
+            team: waiting.admission.team.clone(),
+            cost: waiting.admission.cost,
+            deadline: waiting.admission.deadline.min(latest),
+            item: waiting,
+        };
+        let queue = self.queues.entry(key).or_insert_with(|| Queue::new(QUEUE_CAPACITY));
+        if let Some(shed) = queue.push(entry) {
+            refuse(shed.item, Refusal::Shed);
+        }
+    }
+
+    /// Customers' requests keep a higher priority than any rollout sample by default.
+    fn priority(&self, key: Key<Service>, admission: &Admission) -> u32 {
+        let Some(service) = self.fleet.service(key) else { return 0 };
+        match admission.class {
+            Class::Customer => service.customer.priority,
+            Class::Rollout => {
+                let raised = service.rollout.priority.saturating_add(admission.priority);
+                let bound = service.customer.priority.saturating_sub(1);
+                raised.min(bound.max(service.rollout.priority))
+            }
+        }
+    }
+
+    /// Sends `waiting` to a worker, or returns it if none is eligible.
+    fn place(&mut self, key: Key<Service>, waiting: Waiting) -> Option<Waiting> {
+        let Some(choice) = self.choose(key, &waiting) else { return Some(waiting) };
+        let (Some(server), Some(messages)) =
+            (self.servers.get(&choice.worker), self.messages.upgrade())
+        else {
+            return Some(waiting);
+        };
+        let grant = Grant {
+            server: server.clone(),
+            priority: self.priority(key, &waiting.admission),
+            worker: choice.worker,
+            messages,
+            outcome: Outcome::Abandoned,
+        };
+        self.log(&waiting.admission, choice);
+        self.fleet.sent(choice.worker, self.setup.clock.now());
+        // A caller that is gone drops the grant, which reports it as abandoned.
+        let _ = waiting.reply.send(Ok(grant));
+        None
+    }
+
+    /// Choice without the workers to avoid, else with them: a second try beats none.
+    fn choose(&mut self, key: Key<Service>, waiting: &Waiting) -> Option<Choice> {
+        let now = self.setup.clock.now();
+        let mut request = Request {
+            service: key,
+            class: waiting.admission.class,
+            min_version: waiting.admission.min_version,
+            prefixes: &waiting.admission.prefixes,
+            avoid: &waiting.avoid,
+        };
+        let choice = self.setup.policy.choose(&self.fleet, &request, now, &mut self.rng);
+        if choice.is_some() || waiting.avoid.is_empty() {
+            return choice;
+        }
+        request.avoid = &[];
+        self.setup.policy.choose(&self.fleet, &request, now, &mut self.rng)
+    }
+
+    fn log(&self, admission: &Admission, choice: Choice) {
+        if !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        let chosen = self.fleet.worker(choice.worker).map_or("", |worker| &worker.name);
+        Line::new("route")
+            .with("request", &admission.request_id)
+            .with("service", &admission.service)
+            .with("chosen", chosen)
+            .with("candidates", choice.candidates)
+            .with("reason", choice.reason)
+            .info();
+    }
+
+    fn finished(&mut self, finished: &Finished) {
+        let now = self.setup.clock.now();
+        let jitter = self.rng.random_range(0.0..1.0);
+        self.fleet.finished(finished.worker, finished.outcome, now, jitter);
+        self.pump_of(finished.worker);
+    }
+
+    fn pump_of(&mut self, worker: Key<Worker>) {
+        if let Some(service) = self.fleet.worker(worker).map(|worker| worker.service) {
+            self.pump(service);
+        }
+    }
+
+    /// Sends waiting requests while workers are free.
+    pub(super) fn pump(&mut self, key: Key<Service>) {
+        let mut passed_over = Vec::new();
+        while passed_over.len() < MAX_PASSED_OVER {
+            let Some(entry) = self.queues.get_mut(&key).and_then(Queue::pop) else { break };
+            if entry.item.reply.is_closed() {
+                continue;
+            }
+            let Entry { priority, team, cost, deadline, item } = entry;
+            if let Some(item) = self.place(key, item) {
+                passed_over.push(Entry { priority, team, cost, deadline, item });
+            }
+        }
+        if let Some(queue) = self.queues.get_mut(&key) {
+            passed_over.into_iter().rev().for_each(|entry| queue.put_back(entry));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.setup.clock.now();
+        let keys: Vec<_> = self.queues.keys().copied().collect();
+        for key in keys {
+            let Some(queue) = self.queues.get_mut(&key) else { continue };
+            if queue.is_empty() {
+                continue;
+            }
+            queue.remove_if(|entry| entry.item.reply.is_closed());
+            queue.expire(now).into_iter().for_each(|entry| refuse(entry.item, Refusal::Expired));
+            self.pump(key);
+        }
+    }
+
+    fn take_over(&mut self, inventory: &Inventory) {
+        let view =
+            Viewpoint { gateway: &self.setup.name, zone: &self.setup.zone, subset: SUBSET_SIZE };
+        self.fleet.take_over(inventory, view);
+        let catalog: Catalog = inventory
+            .services
+            .iter()
+            .map(|entry| (entry.name.clone(), Arc::new(entry.clone())))
+            .collect();
+        self.renew_servers(&catalog);
+        let fleet = &self.fleet;
+        self.queues.retain(|key, queue| {
+            let stays = fleet.service(*key).is_some();
+            while let Some(entry) = (!stays).then(|| queue.pop()).flatten() {
+                refuse(entry.item, Refusal::UnknownService);
+            }
+            stays
+        });
+        self.outputs.catalog.send_replace(Arc::new(catalog));
+    }
+
+    fn renew_servers(&mut self, catalog: &Catalog) {
+        let mut servers = HashMap::default();
+        let mut targets = Vec::new();
+        for (key, worker) in self.fleet.workers() {
+            let Some(service) = self.fleet.service(worker.service) else { continue };
+            let Some(entry) = catalog.get(&service.entry.name) else { continue };
+            let server = self.servers.get(&key).cloned().unwrap_or_else(|| {
+                Arc::new(Server::new(&worker.name, worker.address, entry.http2))
+            });
+            targets.push(Target {
+                name: worker.name.clone(),
+                service: entry.clone(),
+                server: server.clone(),
+            });
+            servers.insert(key, server);
+        }
+        self.servers = servers;
+        self.outputs.targets.send_replace(targets.into());
+    }
+
+    fn leaving(&mut self, source: Source, names: &[String]) {
+        let keys: Vec<_> = self.fleet.workers().map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(worker) = self.fleet.worker_mut(key) else { continue };
+            let leaving = names.contains(&worker.name);
+            match source {
+                Source::VmList => worker.marks.vm_list = leaving,
+                Source::Operator => worker.marks.operator = leaving,
+            }
+        }
+    }
+}
+
+fn refuse(waiting: Waiting, refusal: Refusal) {
+    // Fails if the caller is gone.
+    let _ = waiting.reply.send(Err(refusal));
+}
--- /dev/null
+++ b/components/gateway/tests/common/mod.rs
@@ -0,0 +1,245 @@
+//! A gateway over real sockets and scripted backend servers.
+#![allow(dead_code)]
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use filbertsail_config::{inventory::Inventory, settings::Settings};
+use filbertsail_gateway::daemon::{self, Handle};
+use filbertsail_http::{Body, client::Client};
+use http::{Method, Request, Response};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Upper bound of any call in a test; none is expected to come near it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Cluster key of all tests.
+pub const KEY: [u8; 32] = [7; 32];
+
+/// Backend server that follows a script for each connection.
+pub struct Scripted {
+    pub address: SocketAddr,
+    pub connections: Arc<AtomicUsize>,
+    pub requests: Arc<AtomicUsize>,
+}
+
+impl Scripted {
+    /// Runs `script` with the number of each connection, from 0.
+    pub async fn start<F, R>(script: F) -> Self
+    where
+        F: Fn(usize, Conn) -> R + Send + Sync + 'static,
+        R: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let address = listener.local_addr().expect("address");
+        let connections = Arc::new(AtomicUsize::new(0));
+        let requests = Arc::new(AtomicUsize::new(0));
+        let (counter, served) = (connections.clone(), requests.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = counter.fetch_add(1, Ordering::SeqCst);
+                let conn = Conn { stream, buffer: Vec::new(), served: served.clone() };
+                tokio::spawn(script(number, conn));
+            }
+        });
+        Self { address, connections, requests }
+    }
+
+    pub fn served(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+/// Raw connection of a scripted server.
+pub struct Conn {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+    served: Arc<AtomicUsize>,
+}
+
+/// Request as read from a raw connection.
+pub struct Received {
+    pub head: String,
+    pub id: String,
+    pub body: Vec<u8>,
+}
+
+impl Conn {
+    /// Next request; `None` at the end of the connection.
+    pub async fn request(&mut self) -> Option<Received> {
+        let end = loop {
+            if let Some(at) = self.buffer.windows(4).position(|it| it == b"\r\n\r\n") {
+                break at + 4;
+            }
+            if self.stream.read_buf(&mut self.buffer).await.ok()? == 0 {
+                return None;
+            }
+        };
+        let head = String::from_utf8(self.buffer.drain(..end).collect()).ok()?;
+        let length = header(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        while self.buffer.len() < length {
+            if self.stream.read_buf(&mut self.buffer).await.ok()? == 0 {
+                return None;
+            }
+        }
+        let body = self.buffer.drain(..length).collect();
+        self.served.fetch_add(1, Ordering::SeqCst);
+        let id = header(&head, "filbertsail-request-id").unwrap_or_default();
+        Some(Received { head, id, body })
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        // The gateway may have closed its side.
+        let _ = self.stream.write_all(text.as_bytes()).await;
+    }
+
+    /// Whole answer.
+    pub async fn answer(&mut self, id: &str, body: &str) {
+        self.write(&whole(id, body)).await;
+    }
+}
+
+/// Text of a whole answer.
+pub fn whole(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nfilbertsail-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    head.lines()
+        .filter_map(|line| line.split_once(':'))
+        .find(|(found, _)| found.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
+}
+
+/// Server that answers every request whole.
+pub async fn healthy(text: &'static str) -> Scripted {
+    Scripted::start(move |_, mut conn| async move {
+        while let Some(request) = conn.request().await {
+            conn.answer(&request.id, text).await;
+        }
+    })
+    .await
+}
+
+/// Running gateway with its files.
+pub struct Gateway {
+    pub handle: Handle,
+    pub stop: CancellationToken,
+    _files: TempDir,
+}
+
+/// Settings with keys in `files` and free ports.
+pub fn settings(files: &TempDir, name: &str) -> Settings {
+    let key = files.path().join("cluster.key");
+    let tokens = files.path().join("tokens");
+    std::fs::write(&key, hex::encode(KEY)).expect("key file");
+    std::fs::write(&tokens, "").expect("tokens file");
+    let text = format!(
+        r#"
+        name = "{name}"
+        zone = "perth-a"
+        region = "perth"
+        [listen]
+        callers = "127.0.0.1:0"
+        admin = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        [platform]
+        table = "127.0.0.1:1"
+        objects = "127.0.0.1:1"
+        vms = "127.0.0.1:1"
+        weights = "127.0.0.1:1"
+        [security]
+        cluster_key_file = "{}"
+        tokens_file = "{}"
+        "#,
+        key.display(),
+        tokens.display()
+    );
+    Settings::parse(&text).expect("settings")
+}
+
+/// Inventory with one zone, the given service lines and its workers.
+pub fn inventory(kind: &str, options: &str, workers: &[SocketAddr]) -> Inventory {
+    let mut text = format!(
+        r#"
+        [deployment]
+        name = "test"
+        staleness_weight = 1.0
+        idle_weight = 1.0
+        [[zone]]
+        name = "perth-a"
+        region = "perth"
+        [[service]]
+        name = "svc"
+        kind = "{kind}"
+        {options}
+        "#
+    );
+    for (index, address) in workers.iter().enumerate() {
+        let worker = format!(
+            "[[worker]]\nname = \"w{index}\"\nservice = \"svc\"\nzone = \"perth-a\"\n\
+             address = \"{address}\"\n"
+        );
+        text.push_str(&worker);
+    }
+    Inventory::parse(&text).expect("inventory")
+}
+
+impl Gateway {
+    pub async fn start(inventory: Inventory) -> Self {
+        let files = TempDir::new().expect("folder");
+        let stop = CancellationToken::new();
+        let settings = settings(&files, "gateway-1");
+        let handle = daemon::start_with_inventory(settings, inventory, stop.clone()).await;
+        Self { handle: handle.expect("starts"), stop, _files: files }
+    }
+
+    /// Gateway for application workers that report no load.
+    pub async fn application(workers: &[SocketAddr]) -> Self {
+        Self::start(inventory("application", "reports_load = false", workers)).await
+    }
+
+    pub async fn call(&self, method: Method, path: &str, body: &str) -> Response<Bytes> {
+        self.call_with(method, path, body, &[]).await
+    }
+
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Response<Bytes> {
+        let uri = format!("http://{}{path}", self.handle.callers);
+        let mut request = Request::builder().method(method).uri(uri);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Body::full(body.to_owned())).expect("request");
+        Client::default().send(request, PATIENCE).await.expect("whole response")
+    }
+}
+
+/// Verdict of an error response, which header and body must state alike.
+pub fn verdict(response: &Response<Bytes>) -> String {
+    let header = response.headers().get("filbertsail-verdict").expect("verdict header");
+    let header = header.to_str().expect("text").to_owned();
+    let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON body");
+    assert_eq!(body["error"]["verdict"], header.as_str(), "{body}");
+    header
+}
