--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 //! arguments. Nothing here performs input or output.
 
 pub mod label;
+pub mod ledger;
 pub mod policy;
 pub mod round;
 pub mod scheduler;
--- a/components/rounds/src/cursor/mod.rs
+++ b/components/rounds/src/cursor/mod.rs
@@ -3,26 +3,16 @@
 //! The trainer sends it back with its next call. It is authenticated with the cluster key, so a
 //! holder may record what it says without having seen the delivery.
 
+use filbertsail_rollout::ledger::{Echo, Taken};
 use filbertsail_wire::link::auth::Key;
 use serde::{Deserialize, Serialize};
 
-use crate::row::Manifest;
-
 /// Largest length of a cursor's text in bytes.
 pub const MAX_BYTES: usize = 16 * 1024;
 /// Set apart from other uses of the cluster key.
 const DOMAIN: &[u8] = b"filbertsail delivery cursor 1\n";
 const MAC_BYTES: usize = 32;
 
-/// Batch taken and not yet recorded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Taken {
-    /// Step number.
-    pub step: u64,
-    /// Manifest to record.
-    pub manifest: Manifest,
-}
-
 /// Content of a cursor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
@@ -63,6 +53,12 @@
     }
 }
 
+impl From<Cursor> for Echo {
+    fn from(cursor: Cursor) -> Self {
+        Self { epoch: cursor.epoch, taken: cursor.taken }
+    }
+}
+
 fn message(body: &[u8]) -> Vec<u8> {
     [DOMAIN, body].concat()
 }
--- a/components/rounds/src/row.rs
+++ b/components/rounds/src/row.rs
@@ -4,6 +4,8 @@
     table::{Check, Expect, Row, Write},
     trainer,
 };
+/// Row `manifest/<trainer>/<step>`: the one batch of a step.
+pub use filbertsail_rollout::ledger::Manifest;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
@@ -36,21 +38,6 @@
     pub cursor: Option<String>,
 }
 
-/// Row `manifest/<trainer>/<step>`: the one batch of a step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Manifest {
-    /// Fencing number of the holder that recorded it.
-    pub epoch: u64,
-    /// Digest of the batch.
-    pub digest: String,
-    /// Key of the list of group bodies in the object store.
-    pub object: String,
-    /// Oldest weight version in the batch.
-    pub oldest: u64,
-    /// Staleness bound of the round.
-    pub bound: u64,
-}
-
 /// Row `progress/<trainer>/<step>`: group bodies stored before the manifest.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
