Cluster: probe suspects and doubtful zones first, ask for confirmations

Daemons of the own zone now probe a suspect three times, a failure in another zone has its other representatives probed next, a zone that goes silent counts as not seen, and probes are faster and go further while the configuration is unconfirmed.

apply asks live daemons for their version instead of waiting for digests, which at 420 daemons would carry every entry for every version.

--- a/components/cluster/src/agent/handle.rs
+++ b/components/cluster/src/agent/handle.rs
@@ -3,31 +3,43 @@
 use std::{sync::Arc, time::Duration};
 
 use filbertsail_api::admin::{Applied, Apply};
+use filbertsail_collections::HashSet;
 use filbertsail_platform::table::Table;
 use filbertsail_telemetry::event::Line;
-use filbertsail_wire::frame::{Done, Fault, Frame};
+use filbertsail_wire::frame::{Config, Done, Fault, Frame, Pull};
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep_until},
+    task::JoinSet,
+    time::{Instant, sleep},
 };
 use tokio_util::task::TaskTracker;
 
 use crate::{
     config::{self, Snapshot, apply},
-    lease,
+    lease::{self, gate::Gate},
     member::{self, State},
+    peers::Pool,
     token::Tokens,
 };
 
 /// Longest time to wait for daemons to confirm, if the operator states none.
 const DEFAULT_WAIT: Duration = Duration::from_secs(8);
 
+/// Time between two rounds of questions for the version in force.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
+/// Time limit of one question.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Questions at a time.
+const CONFIRM_CALLS: usize = 32;
+
 /// Access to the agent, cheap to clone.
 #[derive(Clone)]
 pub struct Handle<T> {
     pub(super) table: T,
     pub(super) tokens: Arc<Tokens>,
     pub(super) tasks: TaskTracker,
+    pub(super) peers: Pool,
+    pub(super) gate: Gate<T>,
     pub(super) member: mpsc::UnboundedSender<member::task::Command>,
     pub(super) follower: mpsc::UnboundedSender<config::task::Command>,
     pub(super) leases: mpsc::UnboundedSender<lease::task::Command>,
@@ -77,6 +89,12 @@
         lease::Guard::new(scope, self.leases.clone())
     }
 
+    /// Check of orders that this daemon relays.
+    #[must_use]
+    pub fn gate(&self) -> &Gate<T> {
+        &self.gate
+    }
+
     /// Waits until all leases are released and the tasks have ended after a stop.
     pub async fn join(&self) {
         self.tasks.wait().await;
@@ -133,28 +151,61 @@
         Ok(self.confirmations(version, digest, until).await)
     }
 
+    /// Asks every live daemon for its version until all have it in force or the wait is over.
+    ///
+    /// Digests carry versions too slowly for that, since each daemon passes on few entries.
     async fn confirmations(&self, version: u64, digest: String, until: Instant) -> Applied {
-        let mut members = self.members.clone();
-        let missing = |states: &[State]| {
-            states.iter().any(|state| state.live && state.config_version < version)
-        };
-        tokio::select! {
-            () = sleep_until(until) => {}
-            // Fails only while the daemon stops.
-            _ = members.wait_for(|states| !missing(states)) => {}
+        let mut done = HashSet::default();
+        loop {
+            let states = Arc::clone(&self.members.borrow());
+            let live = states.iter().filter(|state| state.live);
+            let open: Vec<_> = live.filter(|state| !done.contains(&state.name)).cloned().collect();
+            let own = self.config.borrow().as_ref().map_or(0, |config| config.version);
+            for name in self.ask_versions(open, own, version).await {
+                done.insert(name);
+            }
+            let live: Vec<_> = states.iter().filter(|state| state.live).collect();
+            let open: Vec<_> = live.iter().filter(|state| !done.contains(&state.name)).collect();
+            if open.is_empty() || Instant::now() >= until {
+                let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+                return Applied {
+                    confirmed: count(live.len() - open.len()),
+                    digest,
+                    live: count(live.len()),
+                    unconfirmed: open.iter().map(|state| state.name.clone()).collect(),
+                    version,
+                };
+            }
+            sleep(CONFIRM_INTERVAL).await;
         }
-        let states = Arc::clone(&members.borrow_and_update());
-        let live: Vec<_> = states.iter().filter(|state| state.live).collect();
-        let (done, open): (Vec<_>, Vec<_>) =
-            live.into_iter().partition(|state| state.config_version >= version);
-        let count = |states: &[&State]| u32::try_from(states.len()).unwrap_or(u32::MAX);
-        Applied {
-            confirmed: count(&done),
-            digest,
-            live: count(&done) + count(&open),
-            unconfirmed: open.iter().map(|state| state.name.clone()).collect(),
-            version,
+    }
+
+    /// Names of those daemons that have `version` or a later one in force.
+    async fn ask_versions(&self, mut open: Vec<State>, own: u64, version: u64) -> Vec<String> {
+        let me = self.members.borrow().first().map(|me| me.name.clone());
+        let mut done = Vec::new();
+        let mut calls = JoinSet::new();
+        while !open.is_empty() || !calls.is_empty() {
+            if calls.len() < CONFIRM_CALLS
+                && let Some(state) = open.pop()
+            {
+                if me.as_ref() == Some(&state.name) {
+                    done.extend((own >= version).then_some(state.name));
+                    continue;
+                }
+                let peers = self.peers.clone();
+                calls.spawn(async move {
+                    // No version is newer, so the answer leaves out the text.
+                    let pull = Frame::Pull(Pull { have: u64::MAX });
+                    let reply = peers.ask(state.address, pull, CONFIRM_TIMEOUT).await;
+                    let config = reply.and_then(|frame| Config::try_from(frame).ok());
+                    (state.name, config.map_or(0, |config| config.version))
+                });
+            } else if let Some(Ok((name, theirs))) = calls.join_next().await {
+                done.extend((theirs >= version).then_some(name));
+            }
         }
+        done
     }
 }
 
--- a/components/cluster/src/agent/mod.rs
+++ b/components/cluster/src/agent/mod.rs
@@ -124,7 +124,7 @@
     let follower = config::task::Task {
         table: table.clone(),
         clock: clock.clone(),
-        peers,
+        peers: peers.clone(),
         members: members_out.clone(),
         majority: majority_out.clone(),
         output: config::task::Output {
@@ -153,9 +153,11 @@
     });
     tasks.close();
     Handle {
+        gate: lease::gate::Gate::new(table.clone()),
         table,
         tokens,
         tasks,
+        peers,
         member: member_in,
         follower: config_in,
         leases: lease_in,
--- a/components/cluster/src/member/mod.rs
+++ b/components/cluster/src/member/mod.rs
@@ -10,7 +10,7 @@
 //! other zone, chosen by rendezvous hashing.
 
 pub(crate) mod task;
-pub(crate) mod view;
+pub mod view;
 
 use std::net::SocketAddr;
 
--- a/components/cluster/src/member/task.rs
+++ b/components/cluster/src/member/task.rs
@@ -20,12 +20,11 @@
 };
 use crate::{config, peers::Pool};
 
-/// Mean time between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time limit of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Shortest time between two full exchanges that this daemon starts.
-const FULL_INTERVAL: Duration = Duration::from_secs(10);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Age of the last confirmation of the configuration after which other zones are probed more; above
+/// the poll interval and well below the 8 s after which a confirmation no longer counts.
+const ALERT_AFTER: Duration = Duration::from_secs(3);
 /// Digests sent at a planned stop.
 const FAREWELLS: usize = 3;
 /// Time limit of the digests at a planned stop.
@@ -63,18 +62,11 @@
 pub(crate) struct Probes {
     rng: StdRng,
     calls: JoinSet<Probe>,
-    full_at: Instant,
-    want_full: bool,
 }
 
 impl Probes {
     pub(crate) fn new(seed: u64) -> Self {
-        Self {
-            rng: StdRng::seed_from_u64(seed),
-            calls: JoinSet::new(),
-            full_at: Instant::default(),
-            want_full: true,
-        }
+        Self { rng: StdRng::seed_from_u64(seed), calls: JoinSet::new() }
     }
 }
 
@@ -91,7 +83,7 @@
         stop: CancellationToken,
     ) {
         // Without it daemons that start together probe in step.
-        let mut pause = PROBE_INTERVAL.mul_f64(self.probes.rng.random_range(0.0..0.2));
+        let mut pause = self.view.interval().mul_f64(self.probes.rng.random_range(0.0..0.2));
         let mut due = self.clock.now().after(pause);
         loop {
             pause = due.since(self.clock.now());
@@ -100,7 +92,7 @@
                 () = sleep(pause) => {
                     self.tick();
                     let jitter = self.probes.rng.random_range(0.8..1.2);
-                    due = self.clock.now().after(PROBE_INTERVAL.mul_f64(jitter));
+                    due = self.clock.now().after(self.view.interval().mul_f64(jitter));
                 }
                 Some(probe) = self.probes.calls.join_next() => {
                     if let Ok(probe) = probe {
@@ -121,6 +113,9 @@
         for member in self.view.expire(now) {
             log_change("member_gone", &member);
         }
+        let confirmed = *self.confirmed.borrow();
+        let recent = confirmed.is_some_and(|(_, at)| now.since(at) < ALERT_AFTER);
+        self.view.set_alert(!recent);
         if let Some(target) = self.view.target(&mut self.probes.rng) {
             self.probe(now, target);
         }
@@ -128,12 +123,8 @@
     }
 
     fn probe(&mut self, now: Instant, target: Target) {
-        let full = self.probes.want_full && now.since(self.probes.full_at) >= FULL_INTERVAL
-            || target.name.is_none();
-        if full {
-            self.probes.full_at = now;
-        }
-        let digest = self.digest(target.name.as_deref(), full);
+        let digest = self.view.probe(now, &target);
+        let digest = self.with_age(digest);
         let peers = self.peers.clone();
         self.probes.calls.spawn(async move {
             let reply = peers.ask(target.address, Frame::Digest(digest), PROBE_TIMEOUT).await;
@@ -142,8 +133,8 @@
         });
     }
 
-    fn digest(&mut self, target: Option<&str>, full: bool) -> Digest {
-        let mut digest = self.view.digest(target, full);
+    /// Adds the age of the confirmation of the configuration.
+    fn with_age(&self, mut digest: Digest) -> Digest {
         let now = self.clock.now();
         let confirmed = *self.confirmed.borrow();
         digest.confirmed_age_ms = confirmed
@@ -182,7 +173,7 @@
         for member in self.view.merge(now, digest.members) {
             log_change(event_of(member.condition), &member);
         }
-        self.probes.want_full = !full && view != self.view.hash();
+        self.view.compare(now, view, full);
         self.publish();
     }
 
@@ -194,12 +185,11 @@
                 let peer = digest.members.first().map(|member| member.name.clone());
                 self.merge(self.clock.now(), digest);
                 // Fails only if the caller has given up.
-                let _ = reply.send(self.digest(peer.as_deref(), full));
-            }
-            Command::Draining(draining) => self.view.update_me(|me| me.draining = draining),
-            Command::ConfigVersion(version) => {
-                self.view.update_me(|me| me.config_version = version);
+                let answer = self.view.digest(peer.as_deref(), full);
+                let _ = reply.send(self.with_age(answer));
             }
+            Command::Draining(draining) => self.view.set_draining(draining),
+            Command::ConfigVersion(version) => self.view.set_config_version(version),
         }
         self.publish();
     }
@@ -234,14 +224,11 @@
 
     /// Tells a few daemons of the planned stop, so that nobody has to suspect this one.
     async fn say_farewell(&mut self) {
-        self.view.update_me(|me| {
-            me.condition = Condition::Left;
-            me.draining = true;
-        });
+        self.view.leave();
         let mut calls = JoinSet::new();
         for _ in 0..FAREWELLS {
             let Some(target) = self.view.target(&mut self.probes.rng) else { break };
-            let digest = self.digest(target.name.as_deref(), false);
+            let digest = self.view.digest(target.name.as_deref(), false);
             let peers = self.peers.clone();
             calls.spawn(async move {
                 peers.ask(target.address, Frame::Digest(digest), FAREWELL_TIMEOUT).await
--- a/components/cluster/src/member/view.rs
+++ b/components/cluster/src/member/view.rs
@@ -1,7 +1,7 @@
 //! State machine of the membership view.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::Arc,
@@ -15,23 +15,47 @@
 use super::State;
 use crate::subset;
 
-/// Time in which a suspected daemon may refute.
-pub(crate) const SUSPICION: Duration = Duration::from_secs(4);
+/// Time in which a suspected daemon of the own zone may refute.
+const SUSPICION: Duration = Duration::from_secs(4);
+/// The same for other zones, where daemons learn of the outcome from those of the zone, which probe
+/// the suspect themselves; it ends the suspicion if the whole zone is lost.
+const FAR_SUSPICION: Duration = Duration::from_secs(12);
+/// Probes of a suspect by each daemon of its zone; a single one may be lost as well.
+const SUSPECT_PROBES: u32 = 3;
+/// Time for which two views must differ before all entries are exchanged; until then the changes
+/// are on their way.
+const FULL_AFTER: Duration = Duration::from_secs(15);
+/// Shortest time between two exchanges of all entries that this daemon starts.
+const FULL_INTERVAL: Duration = Duration::from_secs(30);
 /// Time for which a daemon that is gone counts as known. Longer than a partition of regions, after
 /// which a minority must not take itself for the whole fleet.
-pub(crate) const GONE_RETENTION: Duration = Duration::from_secs(2 * 3_600);
+pub const GONE_RETENTION: Duration = Duration::from_secs(2 * 3_600);
 /// Time for which a planned stop is remembered, so that late digests do not revive the daemon.
 const LEFT_RETENTION: Duration = Duration::from_secs(600);
 /// Time without any answer after which a daemon counts itself alone.
 const ALONE_AFTER: Duration = Duration::from_secs(4);
+/// Probes in a row that must have failed as well; one may have met a daemon that crashed.
+const ALONE_FAILURES: u32 = 2;
+/// Time for which a suspicion or death tells about the rest of the zone.
+const ZONE_MEMORY: Duration = Duration::from_secs(30);
+/// Suspicions and deaths by which a whole zone counts as not seen: at least so many, since one VM
+/// runs two daemons, and at least that share of the zone, as a divisor.
+const ZONE_FAILURES: usize = 3;
+const ZONE_SHARE: usize = 4;
 /// Digests that carry a changed entry.
 const REPEATS: u32 = 8;
 /// Largest number of changed entries in a digest.
 const MAX_CHANGES: usize = 24;
 /// Daemons of each other zone that are probed.
 const REPRESENTATIVES: usize = 3;
-/// One of that many probes goes to another zone.
-const OUTSIDE_SHARE: u32 = 4;
+/// Mean time between two probes, usually and while the configuration is not confirmed.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+const ALERT_INTERVAL: Duration = Duration::from_millis(300);
+/// Probes out of [`OUTSIDE_OF`] that go to other zones, usually and while the configuration is not
+/// confirmed. Readiness then depends on the majority, so a partition must be noticed soon.
+const OUTSIDE: u32 = 1;
+const OUTSIDE_ALERT: u32 = 3;
+const OUTSIDE_OF: u32 = 4;
 /// One of that many probes goes to a daemon that is gone, which heals partitions.
 const GONE_SHARE: u32 = 8;
 
@@ -39,25 +63,54 @@
 struct Record {
     member: Member,
     since: Instant,
+    /// Digests that are still to carry the entry.
     repeats: u32,
+    /// Probes by this daemon since it is suspected.
+    probes: u32,
 }
 
 /// Membership view.
 #[derive(Clone, Debug)]
-pub(crate) struct View {
+pub struct View {
     me: Member,
     records: BTreeMap<String, Record>,
     seeds: Vec<SocketAddr>,
     turn: Vec<String>,
+    /// Daemons of a zone in doubt that are probed next.
+    doubted: Vec<String>,
     answered: Option<Instant>,
+    /// Failed probes of present daemons since the last answer.
+    failures: u32,
+    /// The configuration is not confirmed.
+    alert: bool,
+    hash: u64,
+    /// Since when the view has differed from that of every daemon heard from.
+    differs_since: Option<Instant>,
+    full_at: Option<Instant>,
+}
+
+/// Daemons of one zone.
+#[derive(Default)]
+struct Silence {
+    live: usize,
+    /// Suspected or gone lately.
+    silent: usize,
+}
+
+impl Silence {
+    fn seen(&self) -> usize {
+        let limit = ((self.live + self.silent) / ZONE_SHARE).max(ZONE_FAILURES);
+        if self.silent >= limit { 0 } else { self.live }
+    }
 }
 
 /// Whom to probe.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Target {
+pub struct Target {
     /// Name, unknown for a seed.
-    pub(crate) name: Option<String>,
-    pub(crate) address: SocketAddr,
+    pub name: Option<String>,
+    /// Peer port.
+    pub address: SocketAddr,
 }
 
 fn order(member: &Member) -> (u64, u64, Condition) {
@@ -84,31 +137,103 @@
 }
 
 impl View {
-    pub(crate) fn new(me: Member, seeds: Vec<SocketAddr>) -> Self {
-        Self { me, records: BTreeMap::new(), seeds, turn: Vec::new(), answered: None }
+    /// View of the daemon with the entry `me`, which knows only `seeds`.
+    #[must_use]
+    pub fn new(me: Member, seeds: Vec<SocketAddr>) -> Self {
+        let mut view = Self {
+            me,
+            failures: 0,
+            alert: false,
+            hash: 0,
+            records: BTreeMap::new(),
+            seeds,
+            turn: Vec::new(),
+            doubted: Vec::new(),
+            answered: None,
+            differs_since: None,
+            full_at: None,
+        };
+        view.rehash();
+        view
     }
 
-    pub(crate) fn me(&self) -> &Member {
+    /// Own entry.
+    #[must_use]
+    pub fn me(&self) -> &Member {
         &self.me
     }
 
-    /// Changes the own entry and spreads it.
-    pub(crate) fn update_me(&mut self, change: impl FnOnce(&mut Member)) {
-        let before = self.me.clone();
-        change(&mut self.me);
-        if self.me != before {
-            self.me.revision += 1;
+    /// Sets the configuration version in force. It travels with the entry but is no change of it:
+    /// a change would make every daemon pass on an entry of every other for each version.
+    pub fn set_config_version(&mut self, version: u64) {
+        self.me.config_version = version;
+    }
+
+    /// Sets whether a planned stop is under way.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.me.revision += u64::from(self.me.draining != draining);
+        self.me.draining = draining;
+        self.rehash();
+    }
+
+    /// Sets whether the configuration lacks a recent confirmation.
+    pub fn set_alert(&mut self, alert: bool) {
+        self.alert = alert;
+    }
+
+    /// Mean time between two probes.
+    #[must_use]
+    pub fn interval(&self) -> Duration {
+        if self.alert { ALERT_INTERVAL } else { INTERVAL }
+    }
+
+    /// Marks the own entry as stopped as planned.
+    pub fn leave(&mut self) {
+        self.me.revision += 1;
+        self.me.condition = Condition::Left;
+        self.me.draining = true;
+        self.rehash();
+    }
+
+    /// Notes the view hash of a daemon heard from; all entries were exchanged if `full`.
+    pub fn compare(&mut self, now: Instant, theirs: u64, full: bool) {
+        if full || theirs == self.hash() {
+            self.differs_since = None;
+        } else if self.differs_since.is_none() {
+            self.differs_since = Some(now);
         }
     }
 
+    /// Whether the next probe of `target` is to exchange all entries.
+    fn wants_full(&self, now: Instant, target: &Target) -> bool {
+        let differs = self.differs_since.is_some_and(|since| now.since(since) >= FULL_AFTER);
+        let rested = self.full_at.is_none_or(|at| now.since(at) >= FULL_INTERVAL);
+        target.name.is_none() || self.records.is_empty() || (differs && rested)
+    }
+
+    /// Digest to probe `target` with.
+    pub fn probe(&mut self, now: Instant, target: &Target) -> Digest {
+        let full = self.wants_full(now, target);
+        if full {
+            self.full_at = Some(now);
+            self.differs_since = None;
+        }
+        self.digest(target.name.as_deref(), full)
+    }
+
     /// Takes over newer entries; returns the names whose condition or incarnation changed.
-    pub(crate) fn merge(&mut self, now: Instant, members: Vec<Member>) -> Vec<Member> {
-        let mut changed = Vec::new();
+    pub fn merge(&mut self, now: Instant, members: Vec<Member>) -> Vec<Member> {
+        let (mut changed, mut news) = (Vec::new(), false);
         for member in members {
             if member.name == self.me.name {
-                self.refute(&member);
+                news |= self.refute(&member);
                 continue;
             }
+            let known = self.records.get_mut(&member.name);
+            if let Some(known) = known {
+                let version = known.member.config_version.max(member.config_version);
+                known.member.config_version = version;
+            }
             let known = self.records.get(&member.name);
             if known.is_some_and(|known| order(&known.member) >= order(&member)) {
                 continue;
@@ -126,40 +251,81 @@
             }
             let since = known.filter(|_| kept).map_or(now, |known| known.since);
             let name = member.name.clone();
-            self.records.insert(name, Record { member, since, repeats: REPEATS });
+            let record = Record { member, since, repeats: REPEATS, probes: 0 };
+            self.records.insert(name, record);
+            news = true;
+        }
+        if news {
+            self.rehash();
         }
         changed
     }
 
-    fn refute(&mut self, rumour: &Member) {
+    fn refute(&mut self, rumour: &Member) -> bool {
         let same = rumour.incarnation == self.me.incarnation;
-        if same && rumour.condition > self.me.condition && rumour.revision >= self.me.revision {
+        let newer = same && rumour.revision >= self.me.revision;
+        let wrong = newer && rumour.condition > self.me.condition;
+        if wrong {
             self.me.revision = rumour.revision + 1;
         }
+        wrong
     }
 
     /// The daemon answered a probe.
-    pub(crate) fn answered(&mut self, now: Instant) {
+    pub fn answered(&mut self, now: Instant) {
         self.answered = Some(now);
+        self.failures = 0;
     }
 
     /// The daemon did not answer a probe; returns it if it is suspected from now on.
-    pub(crate) fn failed(&mut self, now: Instant, name: &str) -> Option<Member> {
+    pub fn failed(&mut self, now: Instant, name: &str) -> Option<Member> {
         let record = self.records.get_mut(name)?;
+        if record.member.condition <= Condition::Suspect {
+            self.failures = self.failures.saturating_add(1);
+        }
         if record.member.condition != Condition::Live {
             return None;
         }
         record.member.condition = Condition::Suspect;
         record.since = now;
         record.repeats = REPEATS;
-        Some(record.member.clone())
+        record.probes = 1;
+        let member = record.member.clone();
+        self.doubt(&member);
+        self.rehash();
+        Some(member)
+    }
+
+    /// Has further daemons of the zone of `member` probed next, which soon shows whether the zone
+    /// is cut off.
+    fn doubt(&mut self, member: &Member) {
+        if member.zone == self.me.zone || !self.doubted.is_empty() {
+            return;
+        }
+        let others = self.representatives(&member.zone).into_iter();
+        let others = others.filter(|other| other.condition == Condition::Live);
+        self.doubted = others.map(|other| other.name.clone()).collect();
+    }
+
+    /// Daemons of another zone that this one probes.
+    fn representatives(&self, zone: &str) -> Vec<&Member> {
+        let present = self.records.values().map(|record| &record.member);
+        let present = present.filter(|member| member.condition <= Condition::Suspect);
+        let mut ranked: Vec<_> = present
+            .filter(|member| member.zone == zone)
+            .map(|member| (subset::score(&self.me.name, &member.name), member))
+            .collect();
+        ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+        ranked.into_iter().take(REPRESENTATIVES).map(|(_, member)| member).collect()
     }
 
     /// Ends suspicions and forgets old entries; returns daemons that count as gone from now on.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<Member> {
+    pub fn expire(&mut self, now: Instant) -> Vec<Member> {
         let mut gone = Vec::new();
         for record in self.records.values_mut() {
-            let late = now.since(record.since) >= SUSPICION;
+            let near = record.member.zone == self.me.zone;
+            let limit = if near { SUSPICION } else { FAR_SUSPICION };
+            let late = now.since(record.since) >= limit;
             if record.member.condition == Condition::Suspect && late {
                 record.member.condition = Condition::Gone;
                 record.since = now;
@@ -172,20 +338,28 @@
             Condition::Gone => now.since(record.since) < GONE_RETENTION,
             Condition::Left => now.since(record.since) < LEFT_RETENTION,
         });
+        if !gone.is_empty() {
+            self.rehash();
+        }
         gone
     }
 
     /// Hash over all entries, equal for equal views.
-    pub(crate) fn hash(&self) -> u64 {
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    fn rehash(&mut self) {
         let present =
             self.records.values().filter(|record| record.member.condition <= Condition::Suspect);
-        present
+        self.hash = present
             .map(|record| fingerprint(&record.member))
-            .fold(fingerprint(&self.me), u64::wrapping_add)
+            .fold(fingerprint(&self.me), u64::wrapping_add);
     }
 
     /// Digest for `target`, which gets to see what is believed about itself.
-    pub(crate) fn digest(&mut self, target: Option<&str>, full: bool) -> Digest {
+    pub fn digest(&mut self, target: Option<&str>, full: bool) -> Digest {
         let mut members = vec![self.me.clone()];
         if full {
             members.extend(self.records.values().map(|record| record.member.clone()));
@@ -211,13 +385,16 @@
     }
 
     /// Next daemon to probe.
-    pub(crate) fn target(&mut self, rng: &mut impl Rng) -> Option<Target> {
+    pub fn target(&mut self, rng: &mut impl Rng) -> Option<Target> {
+        if let Some(target) = self.suspect_target().or_else(|| self.doubted_target()) {
+            return Some(target);
+        }
         if rng.random_ratio(1, GONE_SHARE)
             && let Some(target) = self.lost_target(rng)
         {
             return Some(target);
         }
-        if rng.random_ratio(1, OUTSIDE_SHARE)
+        if rng.random_ratio(if self.alert { OUTSIDE_ALERT } else { OUTSIDE }, OUTSIDE_OF)
             && let Some(target) = self.outside_target(rng)
         {
             return Some(target);
@@ -225,6 +402,23 @@
         self.zone_target(rng).or_else(|| self.outside_target(rng)).or_else(|| self.lost_target(rng))
     }
 
+    /// A suspected daemon of the own zone, which tells it of the suspicion and tells this
+    /// daemon whether it answers.
+    fn suspect_target(&mut self) -> Option<Target> {
+        let zone = &self.me.zone;
+        let record = self.records.values_mut().find(|record| {
+            let near = record.member.zone == *zone;
+            near && record.member.condition == Condition::Suspect && record.probes < SUSPECT_PROBES
+        })?;
+        record.probes += 1;
+        Some(Target { name: Some(record.member.name.clone()), address: record.member.address })
+    }
+
+    fn doubted_target(&mut self) -> Option<Target> {
+        let name = self.doubted.pop()?;
+        self.target_of(&name)
+    }
+
     fn target_of(&self, name: &str) -> Option<Target> {
         let record = self.records.get(name)?;
         let present = record.member.condition <= Condition::Suspect;
@@ -248,35 +442,16 @@
     }
 
     fn outside_target(&self, rng: &mut impl Rng) -> Option<Target> {
-        let mut zones: BTreeMap<&str, Vec<(u64, &Member)>> = BTreeMap::new();
-        for record in self.records.values() {
-            let member = &record.member;
-            if member.zone != self.me.zone && member.condition <= Condition::Suspect {
-                let score = subset::score(&self.me.name, &member.name);
-                zones.entry(&member.zone).or_default().push((score, member));
-            }
-        }
-        let zone = zones.into_values().nth(pick(self.zones_outside(), rng)?)?;
-        let mut ranked = zone;
-        ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-        ranked.truncate(REPRESENTATIVES);
-        let (_, member) = ranked.get(pick(ranked.len(), rng)?)?;
+        let present = self.records.values().map(|record| &record.member);
+        let present = present.filter(|member| member.condition <= Condition::Suspect);
+        let zones = present.map(|member| member.zone.as_str());
+        let zones: BTreeSet<_> = zones.filter(|zone| *zone != self.me.zone).collect();
+        let zone = zones.iter().nth(pick(zones.len(), rng)?)?;
+        let representatives = self.representatives(zone);
+        let member = representatives.get(pick(representatives.len(), rng)?)?;
         Some(Target { name: Some(member.name.clone()), address: member.address })
     }
 
-    fn zones_outside(&self) -> usize {
-        let mut zones: Vec<_> = self
-            .records
-            .values()
-            .filter(|record| record.member.condition <= Condition::Suspect)
-            .map(|record| record.member.zone.as_str())
-            .filter(|zone| *zone != self.me.zone)
-            .collect();
-        zones.sort_unstable();
-        zones.dedup();
-        zones.len()
-    }
-
     /// A seed that is not known yet, or a daemon that is gone.
     fn lost_target(&self, rng: &mut impl Rng) -> Option<Target> {
         let mut lost: Vec<_> = self.unknown_seeds().collect();
@@ -299,18 +474,33 @@
     }
 
     /// Daemons seen as live and daemons known, both with this one.
-    pub(crate) fn majority(&self, now: Instant) -> (usize, usize) {
-        let known =
-            self.records.values().filter(|record| record.member.condition != Condition::Left);
-        let known = 1 + known.count();
-        let alone = self.answered.is_none_or(|at| now.since(at) >= ALONE_AFTER);
-        let live =
-            self.records.values().filter(|record| record.member.condition == Condition::Live);
-        (if alone { 1 } else { 1 + live.count() }, known)
+    ///
+    /// A suspected daemon is not seen, nor is one in a zone of which many went silent lately: the
+    /// rest of a zone that is cut off would otherwise count until each of them was probed.
+    #[must_use]
+    pub fn majority(&self, now: Instant) -> (usize, usize) {
+        let mut zones: BTreeMap<&str, Silence> = BTreeMap::new();
+        let mut known = 1;
+        for record in self.records.values() {
+            let zone = zones.entry(&record.member.zone).or_default();
+            match record.member.condition {
+                Condition::Left => continue,
+                Condition::Live => zone.live += 1,
+                Condition::Suspect | Condition::Gone => {
+                    zone.silent += usize::from(now.since(record.since) < ZONE_MEMORY);
+                }
+            }
+            known += 1;
+        }
+        let alone = self.failures >= ALONE_FAILURES
+            && self.answered.is_none_or(|at| now.since(at) >= ALONE_AFTER);
+        let seen: usize = zones.values().map(Silence::seen).sum();
+        (if alone { 1 } else { 1 + seen }, known)
     }
 
     /// All daemons known, this one first.
-    pub(crate) fn states(&self) -> Arc<[State]> {
+    #[must_use]
+    pub fn states(&self) -> Arc<[State]> {
         let others = self.records.values().map(|record| &record.member);
         let others = others.filter(|member| member.condition != Condition::Left);
         std::iter::once(&self.me).chain(others).map(state).collect()
