Check configuration files and report every fault at once

The check reads the recovered TOML tree with spans, so that it goes on past syntax errors and wrong types.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -3,6 +3,7 @@
 //! The inventory is the shared configuration: one TOML text, versioned in the table service. The
 //! settings are local to a process: its name, zone, addresses and key files.
 
+pub mod check;
 pub mod inventory;
 pub mod settings;
 
--- /dev/null
+++ b/components/config/tests/check.rs
@@ -0,0 +1,55 @@
+//! Exact messages for broken files, and the example files without faults.
+
+use std::{fs, path::Path};
+
+use filbertsail_config::check::{self, Checked, Role};
+
+fn folder(name: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+/// Guards against a check that stops at the first fault, or whose messages lose the file, the key
+/// path, the value or the remedy.
+#[test]
+fn can_report_every_fault_of_broken_files() {
+    let mut paths: Vec<_> = fs::read_dir(folder("tests/broken"))
+        .expect("folder")
+        .map(|entry| entry.expect("entry").path())
+        .collect();
+    paths.sort();
+    assert!(paths.len() >= 20, "{} broken files", paths.len());
+    for path in paths {
+        let text = fs::read_to_string(&path).expect("broken file");
+        let file = path.file_name().expect("name").to_string_lossy();
+        let faults = check::any(&file, &text).expect_err(&file);
+        let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        insta::assert_snapshot!(path.file_stem().expect("stem").to_str(), lines.join("\n"));
+    }
+}
+
+/// Guards against a check that refuses what the daemons accept.
+#[test]
+fn can_accept_the_examples() {
+    for name in ["swan-coastal", "vaahto", "gateway", "controller"] {
+        let text = fs::read_to_string(folder("../../examples").join(format!("{name}.toml")))
+            .expect("example");
+        match check::any(name, &text) {
+            Ok(Checked::Inventory(inventory)) => assert!(!inventory.workers.is_empty()),
+            Ok(Checked::Settings(settings)) => assert!(settings.name.starts_with(name)),
+            Err(faults) => panic!("{faults:#?}"),
+        }
+    }
+}
+
+/// Guards against a gateway without a callers' port and a controller with one.
+#[test]
+fn can_check_the_role() {
+    let gateway = include_str!("../../../examples/gateway.toml");
+    let controller = include_str!("../../../examples/controller.toml");
+    assert!(check::settings("gateway", gateway, Some(Role::Gateway)).is_ok());
+    assert!(check::settings("controller", controller, Some(Role::Controller)).is_ok());
+    let faults = check::settings("gateway", gateway, Some(Role::Controller)).expect_err("port");
+    assert_eq!(faults[0].key, "listen.callers");
+    let faults = check::settings("controller", controller, Some(Role::Gateway)).expect_err("port");
+    assert_eq!((faults.len(), faults[0].key.as_str()), (1, "listen.callers"));
+}
