Add filbertsailctl

check, apply, show, status, drain and explain, each in a file of its own, with exit codes that tell outcomes apart. The admin handler checks an applied inventory, records the token's name as author where none is given, and logs changes.

--- a/components/admin/src/handler/mod.rs
+++ b/components/admin/src/handler/mod.rs
@@ -4,12 +4,14 @@
 
 use std::{error::Error, net::SocketAddr, sync::Arc};
 
+use filbertsail_api::admin::{Apply, Drain};
+use filbertsail_config::check;
 use filbertsail_errors::Verdict;
 use filbertsail_http::{
     Body, server,
     token::{Role, Table},
 };
-use filbertsail_telemetry::metrics::Registry;
+use filbertsail_telemetry::{event::Line, metrics::Registry};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -49,14 +51,15 @@
             "/admin/v1/explain" => ("POST", READERS.as_slice()),
             _ => return probe::not_found(),
         };
-        if let Err(denied) = self.probe.tokens().require(request.headers(), roles) {
-            return answer::denied(denied);
-        }
+        let caller = match self.probe.tokens().require(request.headers(), roles) {
+            Ok(identity) => identity.name.clone(),
+            Err(denied) => return answer::denied(denied),
+        };
         match (path.as_str(), method.as_str()) {
             ("/admin/v1/config", "GET") => self.head().await,
-            ("/admin/v1/config", "PUT") => self.apply(request).await,
+            ("/admin/v1/config", "PUT") => self.apply(request, &caller).await,
             ("/admin/v1/status", "GET") => answer::ok(&self.fleet.status().await),
-            ("/admin/v1/drain", "POST") => self.drain(request).await,
+            ("/admin/v1/drain", "POST") => self.drain(request, &caller).await,
             ("/admin/v1/explain", "POST") => self.explain(request).await,
             _ => probe::wrong_method(allowed),
         }
@@ -74,28 +77,48 @@
         }
     }
 
-    async fn apply(&self, request: Request<Incoming>) -> Response<Body> {
-        let apply: filbertsail_api::admin::Apply = match read(request).await {
+    async fn apply(&self, request: Request<Incoming>, caller: &str) -> Response<Body> {
+        let mut apply: Apply = match read(request).await {
             Ok(apply) => apply,
             Err(rejection) => return rejection.answer(),
         };
-        if let Err(error) = filbertsail_config::inventory::Inventory::parse(&apply.text) {
+        if let Err(faults) = check::inventory("config", &apply.text) {
+            let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
             let status = StatusCode::UNPROCESSABLE_ENTITY;
-            return answer::fault(status, "invalid_config", error.to_string(), Verdict::NotRun);
+            return answer::fault(status, "invalid_config", lines.join("\n"), Verdict::NotRun);
+        }
+        if apply.author.is_empty() {
+            caller.clone_into(&mut apply.author);
         }
+        let line = Line::new("admin_apply").with("caller", caller).with("author", &apply.author);
         match self.fleet.apply(apply).await {
-            Ok(applied) => answer::ok(&applied),
-            Err(refused) => answer::refused(&refused),
+            Ok(applied) => {
+                line.with("version", applied.version).with("outcome", "accepted").info();
+                answer::ok(&applied)
+            }
+            Err(refused) => {
+                line.with("outcome", refused.code()).with("error", &refused).warn();
+                answer::refused(&refused)
+            }
         }
     }
 
-    async fn drain(&self, request: Request<Incoming>) -> Response<Body> {
-        match read(request).await {
-            Ok(drain) => match self.fleet.drain(drain).await {
-                Ok(drained) => answer::ok(&drained),
-                Err(refused) => answer::refused(&refused),
-            },
-            Err(rejection) => rejection.answer(),
+    async fn drain(&self, request: Request<Incoming>, caller: &str) -> Response<Body> {
+        let drain: Drain = match read(request).await {
+            Ok(drain) => drain,
+            Err(rejection) => return rejection.answer(),
+        };
+        let line = Line::new("admin_drain").with("caller", caller).with("name", &drain.name);
+        let line = line.with("draining", drain.draining);
+        match self.fleet.drain(drain).await {
+            Ok(drained) => {
+                line.with("outcome", "accepted").info();
+                answer::ok(&drained)
+            }
+            Err(refused) => {
+                line.with("outcome", refused.code()).with("error", &refused).warn();
+                answer::refused(&refused)
+            }
         }
     }
 
--- /dev/null
+++ b/components/ctl/src/cmd/explain.rs
@@ -0,0 +1,46 @@
+//! `explain`: a routing decision and its reasons.
+
+use std::{io::Write, time::Duration};
+
+use filbertsail_api::admin::{Answer, Question};
+use http::Method;
+
+use super::print_json;
+use crate::{
+    cli::Explain,
+    exit::{Exit, Failure},
+    gateway::Gateway,
+};
+
+/// Prints the choice and every candidate with the reason for or against it.
+///
+/// # Errors
+/// Fails if the service is unknown or the gateway does not answer.
+pub async fn run(
+    args: &Explain,
+    gateway: &Gateway,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<Exit, Failure> {
+    let question = Question {
+        service: args.service.clone(),
+        prompt: args.prompt.clone(),
+        class: args.class.clone(),
+        team: args.team.clone(),
+        min_version: args.min_version,
+    };
+    let answer: Answer =
+        gateway.send(Method::POST, "/admin/v1/explain", &question, Duration::ZERO).await?;
+    if json {
+        print_json(out, &answer)?;
+        return Ok(Exit::Done);
+    }
+    writeln!(out, "{}: {}", answer.chosen.as_deref().unwrap_or("no worker"), answer.reason)?;
+    for candidate in &answer.candidates {
+        let mark = if candidate.eligible { '+' } else { '-' };
+        let wait =
+            candidate.expected_wait_ms.map_or_else(String::new, |wait| format!(" {wait:.1} ms"));
+        writeln!(out, "{mark} {} {}{wait} {}", candidate.name, candidate.zone, candidate.reason)?;
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/components/ctl/src/cmd/show.rs
@@ -0,0 +1,26 @@
+//! `show`: the inventory in force.
+
+use std::io::Write;
+
+use filbertsail_api::admin::Head;
+
+use super::print_json;
+use crate::{
+    exit::{Exit, Failure},
+    gateway::Gateway,
+};
+
+/// Prints the inventory as it can be edited and applied again.
+///
+/// # Errors
+/// Fails if the gateway does not answer with it.
+pub async fn run(gateway: &Gateway, json: bool, out: &mut impl Write) -> Result<Exit, Failure> {
+    let head: Head = gateway.get("/admin/v1/config").await?;
+    if json {
+        print_json(out, &head)?;
+    } else {
+        writeln!(out, "# version {}, digest {}", head.version, head.digest)?;
+        write!(out, "{}", head.text)?;
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/components/ctl/src/gateway.rs
@@ -0,0 +1,141 @@
+//! Calls to the administration API.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use bytes::Bytes;
+use eyre::{Context, OptionExt, eyre};
+use filbertsail_api::{admin::Lost, fault};
+use filbertsail_errors::Verdict;
+use filbertsail_http::{Body, client::Client};
+use http::{Method, Request, Response, StatusCode, header};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    cli::Cli,
+    exit::{Exit, Failure},
+};
+
+/// Time limit of a call beyond the waiting that it asks for.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Gateway that commands go to.
+#[derive(Debug)]
+pub struct Gateway {
+    client: Client,
+    address: SocketAddr,
+    token: Option<String>,
+}
+
+impl Gateway {
+    /// Gateway that the arguments name.
+    ///
+    /// # Errors
+    /// Fails if no gateway is named or the token file cannot be read.
+    pub fn new(cli: &Cli) -> Result<Self, Failure> {
+        let address = cli.gateway.ok_or_eyre("--gateway ADDR is required for this command")?;
+        let token = cli.token_file.as_deref().map(read_token).transpose()?;
+        Ok(Self { client: Client::default(), address, token })
+    }
+
+    /// Reads the resource at `path`.
+    ///
+    /// # Errors
+    /// Fails if the gateway does not answer with it.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        // A read changes nothing, so its outcome is never unknown.
+        self.call(Method::GET, path, Bytes::new(), Duration::ZERO).await.map_err(as_read)
+    }
+
+    /// Sends a command; `wait` is the time that the gateway may take on top of the call itself.
+    ///
+    /// # Errors
+    /// Fails if the gateway refuses or does not answer.
+    pub async fn send<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        command: &impl Serialize,
+        wait: Duration,
+    ) -> Result<T, Failure> {
+        let body = serde_json::to_vec(command).wrap_err("the command has no JSON form")?;
+        self.call(method, path, body.into(), wait).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<T, Failure> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(token) = &self.token {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let request = request.body(Body::full(body)).wrap_err("the token is not valid in HTTP")?;
+        let response = self.client.send(request, CALL_TIMEOUT + wait).await.map_err(|error| {
+            let message = format!("gateway {}: {error}", self.address);
+            Failure::new(exit_of(error.verdict()), message)
+        })?;
+        read_answer(&response)
+    }
+}
+
+fn as_read(failure: Failure) -> Failure {
+    match failure {
+        Failure::Command { exit: Exit::Unknown, message } => {
+            Failure::new(Exit::Unavailable, message)
+        }
+        other => other,
+    }
+}
+
+fn exit_of(verdict: Verdict) -> Exit {
+    match verdict {
+        Verdict::NotRun => Exit::Unavailable,
+        Verdict::MayHaveRun | Verdict::Ran => Exit::Unknown,
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(response: &Response<Bytes>) -> Result<T, Failure> {
+    let body = response.body();
+    if response.status() == StatusCode::OK {
+        return serde_json::from_slice(body).map_err(|error| {
+            Failure::new(Exit::Unknown, format!("the gateway's answer is not understood: {error}"))
+        });
+    }
+    if response.status() == StatusCode::CONFLICT
+        && let Ok(lost) = serde_json::from_slice::<Lost>(body)
+    {
+        let message = format!(
+            "lost the race: version {} by {} won (digest {}); nothing was changed",
+            lost.version, lost.author, lost.digest
+        );
+        return Err(Failure::new(Exit::Lost, message));
+    }
+    Err(refusal(response.status(), body))
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> Failure {
+    let Ok(fault::Body { error }) = serde_json::from_slice(body) else {
+        return Failure::new(Exit::Unknown, format!("the gateway answered {status}"));
+    };
+    let exit = match (status, error.verdict) {
+        (StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN, _) => Exit::Denied,
+        (StatusCode::NOT_FOUND, _) => Exit::NotFound,
+        (StatusCode::UNPROCESSABLE_ENTITY, _) => Exit::Faults,
+        (_, fault::Verdict::NotRun) => Exit::Unavailable,
+        (_, fault::Verdict::MayHaveRun | fault::Verdict::Ran) => Exit::Unknown,
+    };
+    Failure::new(exit, format!("{}: {}", error.code, error.message))
+}
+
+fn read_token(path: &Path) -> Result<String, eyre::Report> {
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))?;
+    let lines = text.lines().map(str::trim).filter(|line| !line.starts_with('#'));
+    let token = lines.flat_map(str::split_whitespace).next();
+    token.map(ToOwned::to_owned).ok_or_else(|| eyre!("{} holds no token", path.display()))
+}
