Add TLS and limits on slow callers, bodies and connections

The server closes idle connections, cuts off callers that send a head or body or read an answer below the least rate, refuses bodies above the limit and connections above the number allowed.

TLS uses rustls with PEM files on both sides.

--- a/components/admin/src/handler/mod.rs
+++ b/components/admin/src/handler/mod.rs
@@ -2,18 +2,19 @@
 
 pub mod probe;
 
-use std::{error::Error, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use filbertsail_api::admin::{Apply, Drain};
 use filbertsail_config::check;
 use filbertsail_errors::Verdict;
 use filbertsail_http::{
-    Body, server,
+    Body,
+    body::read,
+    server::{self, Limits},
     token::{Role, Table},
 };
 use filbertsail_telemetry::{event::Line, metrics::Registry};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use probe::Probe;
 use serde::de::DeserializeOwned;
@@ -157,24 +158,15 @@
 }
 
 async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Rejection> {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
-    let bytes = body.map_err(unreadable)?.to_bytes();
+    let limits = Limits { body_bytes: MAX_BODY_BYTES, ..Limits::default() };
+    let bytes = read::read(request.into_body(), &limits).await.map_err(|error| Rejection {
+        status: error.status(),
+        code: error.code(),
+        message: error.to_string(),
+    })?;
     serde_json::from_slice(&bytes).map_err(|error| Rejection {
         status: StatusCode::BAD_REQUEST,
         code: "bad_json",
         message: error.to_string(),
     })
 }
-
-fn unreadable(error: Box<dyn Error + Send + Sync>) -> Rejection {
-    if error.is::<LengthLimitError>() {
-        let message = format!("the body exceeds {MAX_BODY_BYTES} bytes");
-        return Rejection {
-            status: StatusCode::PAYLOAD_TOO_LARGE,
-            code: "body_too_large",
-            message,
-        };
-    }
-    let message = error.to_string();
-    Rejection { status: StatusCode::BAD_REQUEST, code: "bad_body", message }
-}
--- a/components/ctl/src/gateway.rs
+++ b/components/ctl/src/gateway.rs
@@ -6,7 +6,7 @@
 use eyre::{Context, OptionExt, eyre};
 use filbertsail_api::{admin::Lost, fault};
 use filbertsail_errors::Verdict;
-use filbertsail_http::{Body, client::Client};
+use filbertsail_http::{Body, client::Client, tls};
 use http::{Method, Request, Response, StatusCode, header};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     client: Client,
+    scheme: &'static str,
     address: SocketAddr,
     token: Option<String>,
 }
@@ -34,7 +35,14 @@
     pub fn new(cli: &Cli) -> Result<Self, Failure> {
         let address = cli.gateway.ok_or_eyre("--gateway ADDR is required for this command")?;
         let token = cli.token_file.as_deref().map(read_token).transpose()?;
-        Ok(Self { client: Client::default(), address, token })
+        let (scheme, client) = match &cli.ca_file {
+            None => ("http", Client::default()),
+            Some(file) => {
+                let config = tls::trust(file).wrap_err("reading the trusted certificates")?;
+                ("https", Client::with_tls(config))
+            }
+        };
+        Ok(Self { client, scheme, address, token })
     }
 
     /// Reads the resource at `path`.
@@ -70,7 +78,7 @@
     ) -> Result<T, Failure> {
         let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.address))
+            .uri(format!("{}://{}{path}", self.scheme, self.address))
             .header(header::CONTENT_TYPE, "application/json");
         if let Some(token) = &self.token {
             request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
--- a/components/http/src/body/mod.rs
+++ b/components/http/src/body/mod.rs
@@ -1,5 +1,7 @@
 //! Bodies without dynamic dispatch.
 
+pub mod read;
+
 use std::{
     pin::Pin,
     task::{Context, Poll},
--- a/components/http/src/client/mod.rs
+++ b/components/http/src/client/mod.rs
@@ -7,13 +7,15 @@
 use filbertsail_errors::Verdict;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
+use hyper_rustls::{HttpsConnector, HttpsConnectorBuilder};
 use hyper_util::{
     client::legacy::{Client as Pool, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use rustls::{ClientConfig, RootCertStore};
 use tokio::time;
 
-use crate::Body;
+use crate::{Body, tls};
 
 /// Time limit for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -47,14 +49,30 @@
 /// HTTP client, cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pool: Pool<HttpConnector, Body>,
+    pool: Pool<HttpsConnector<HttpConnector>, Body>,
 }
 
 impl Default for Client {
     fn default() -> Self {
+        // Only a provider without cipher suites could fail; `ring` has them.
+        let config = tls::client(RootCertStore::empty()).expect("TLS versions of ring");
+        Self::with_tls(config)
+    }
+}
+
+impl Client {
+    /// Client for `https` addresses whose certificates `config` trusts, and for `http` ones.
+    #[must_use]
+    pub fn with_tls(config: ClientConfig) -> Self {
         let mut connector = HttpConnector::new();
+        connector.enforce_http(false);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        let connector = HttpsConnectorBuilder::new()
+            .with_tls_config(config)
+            .https_or_http()
+            .enable_http1()
+            .wrap_connector(connector);
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
@@ -62,9 +80,7 @@
             .build(connector);
         Self { pool }
     }
-}
 
-impl Client {
     /// Sends `request` and returns the whole response within `timeout`.
     ///
     /// # Errors
--- /dev/null
+++ b/components/http/src/tls/mod.rs
@@ -0,0 +1,89 @@
+//! TLS of servers and clients, with keys from PEM files.
+
+use std::{io, path::Path, sync::Arc};
+
+use derive_more::{Debug, Display, Error};
+use rustls::{
+    ClientConfig, RootCertStore, ServerConfig,
+    crypto::{CryptoProvider, ring},
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+};
+use tokio::net::TcpStream;
+use tokio_rustls::{TlsAcceptor, server::TlsStream};
+
+/// Why keys cannot be used.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{file}: {problem}")]
+pub struct Error {
+    /// File.
+    pub file: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// Serving side of TLS, cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Acceptor {
+    #[debug(skip)]
+    acceptor: TlsAcceptor,
+}
+
+impl Acceptor {
+    /// Acceptor with a PEM certificate chain and private key.
+    ///
+    /// # Errors
+    /// Fails if a file cannot be read or the two do not fit.
+    pub fn load(cert: &Path, key: &Path) -> Result<Self, Error> {
+        let chain = certificates(cert)?;
+        let private = PrivateKeyDer::from_pem_file(key).map_err(|error| fault(key, &error))?;
+        let mut config = ServerConfig::builder_with_provider(provider())
+            .with_safe_default_protocol_versions()
+            .map_err(|error| fault(cert, &error))?
+            .with_no_client_auth()
+            .with_single_cert(chain, private)
+            .map_err(|error| fault(key, &error))?;
+        config.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
+        Ok(Self { acceptor: TlsAcceptor::from(Arc::new(config)) })
+    }
+
+    pub(crate) async fn accept(&self, stream: TcpStream) -> io::Result<TlsStream<TcpStream>> {
+        self.acceptor.accept(stream).await
+    }
+}
+
+/// Client side of TLS that trusts the certificates of a PEM file.
+///
+/// # Errors
+/// Fails if the file cannot be read or holds no certificate.
+pub fn trust(file: &Path) -> Result<ClientConfig, Error> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(file)? {
+        roots.add(certificate).map_err(|error| fault(file, &error))?;
+    }
+    client(roots).map_err(|error| fault(file, &error))
+}
+
+/// Client side of TLS that trusts no one; enough for plain connections.
+pub(crate) fn client(roots: RootCertStore) -> Result<ClientConfig, rustls::Error> {
+    let builder = ClientConfig::builder_with_provider(provider());
+    let builder = builder.with_safe_default_protocol_versions()?;
+    Ok(builder.with_root_certificates(roots).with_no_client_auth())
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(ring::default_provider())
+}
+
+fn certificates(file: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let chain: Result<Vec<_>, _> =
+        CertificateDer::pem_file_iter(file).map_err(|error| fault(file, &error))?.collect();
+    let chain = chain.map_err(|error| fault(file, &error))?;
+    if chain.is_empty() {
+        return Err(fault(file, &"no certificate in PEM form"));
+    }
+    Ok(chain)
+}
+
+fn fault(file: &Path, problem: &impl ToString) -> Error {
+    Error { file: file.display().to_string(), problem: problem.to_string() }
+}
--- /dev/null
+++ b/components/http/tests/tls.rs
@@ -0,0 +1,64 @@
+//! TLS between the server and the client of this crate.
+
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use filbertsail_http::{
+    Body,
+    client::{Client, Error},
+    server::{Handler, Limits, serve_with},
+    tls::{Acceptor, trust},
+};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Clone)]
+struct Ok200;
+
+impl Handler for Ok200 {
+    async fn handle(&self, _request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        Response::new(Body::full("ok"))
+    }
+}
+
+/// Writes a new certificate and key for 127.0.0.1 and returns their paths.
+fn pair(folder: &TempDir, name: &str) -> (PathBuf, PathBuf) {
+    let pair = rcgen::generate_simple_self_signed(["127.0.0.1".to_owned()]).expect("pair");
+    let cert = folder.path().join(format!("{name}.cert.pem"));
+    let key = folder.path().join(format!("{name}.key.pem"));
+    fs::write(&cert, pair.cert.pem()).expect("certificate");
+    fs::write(&key, pair.signing_key.serialize_pem()).expect("key");
+    (cert, key)
+}
+
+/// Guards against a client that talks to a server it does not trust, or a plain one to a TLS port.
+#[tokio::test]
+async fn can_refuse_unknown_servers() {
+    let folder = TempDir::new().expect("folder");
+    let (cert, key) = pair(&folder, "own");
+    let (other, other_key) = pair(&folder, "other");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("address");
+    let acceptor = Acceptor::load(&cert, &key).expect("acceptor");
+    let stop = CancellationToken::new();
+    tokio::spawn(serve_with(listener, Some(acceptor), Limits::default(), Ok200, stop));
+
+    let get = |scheme| {
+        Request::get(format!("{scheme}://{address}/")).body(Body::empty()).expect("request")
+    };
+    let timeout = Duration::from_secs(30);
+    let trusting = Client::with_tls(trust(&cert).expect("root"));
+    assert_eq!(trusting.send(get("https"), timeout).await.expect("answer").body(), "ok");
+    let wary = Client::with_tls(trust(&other).expect("root"));
+    let refused = wary.send(get("https"), timeout).await;
+    assert!(matches!(refused, Err(Error::Connect(_))), "{refused:?}");
+    let plain = Client::default().send(get("http"), timeout).await;
+    assert!(matches!(plain, Err(Error::Broken(_))), "{plain:?}");
+
+    let mixed = Acceptor::load(&cert, &other_key).expect_err("key of another certificate");
+    assert_eq!(mixed.file, other_key.display().to_string());
+    let absent = Acceptor::load(&folder.path().join("none.pem"), &key).expect_err("no file");
+    assert!(absent.file.ends_with("none.pem"), "{absent}");
+}
