--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,1 +1,16 @@
-//! Under construction.
+//! Demo, load, fault scenarios, comparison with naive policies, and the checker of the promises.
+
+pub mod arrival;
+pub mod balance;
+pub mod breaks;
+pub mod checker;
+pub mod customer;
+pub mod journal;
+pub mod measure;
+pub mod operator;
+pub mod policy;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod trainer;
+pub mod world;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -1,3 +1,18 @@
-//! Under construction.
+//! Bench of the promises and measures.
 
-fn main() {}
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+use cli::Command;
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let args: cli::Args = argh::from_env();
+    match args.command {
+        Command::List(_) => Ok(cmd::list::run()),
+        Command::Demo(demo) => cmd::demo::run(demo).await,
+        Command::Run(run) => cmd::run::run(run).await,
+    }
+}
--- a/components/standin/src/engine/cache.rs
+++ b/components/standin/src/engine/cache.rs
@@ -62,26 +62,27 @@
     }
 
     fn publish(&mut self, change: Change, prefix: String, now: Instant) {
+        let seq = self.seq;
         self.seq += 1;
         if self.gap > 0 && self.seq.is_multiple_of(self.gap) {
             return;
         }
-        self.events.push_back((now, CacheEvent { seq: self.seq, change, prefix }));
+        self.events.push_back((now, CacheEvent { seq, change, prefix }));
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
         }
     }
 
-    /// Events after `after` that are at least `lag` old.
+    /// Events from number `after` that are at least `lag` old; `next` is the number to ask for next.
     pub fn events(&self, after: u64, now: Instant, lag: Duration) -> CacheEvents {
         let limit = now.before(lag);
         let events: Vec<_> = self
             .events
             .iter()
-            .filter(|(at, event)| *at <= limit && event.seq > after)
+            .filter(|(at, event)| *at <= limit && event.seq >= after)
             .map(|(_, event)| event.clone())
             .collect();
-        let next = events.last().map_or(after, |event| event.seq);
+        let next = events.last().map_or(after, |event| event.seq + 1);
         CacheEvents { events, next }
     }
 }
