--- a/components/bench/src/cmd/demo.rs
+++ b/components/bench/src/cmd/demo.rs
@@ -10,7 +10,7 @@
     scenario,
 };
 
-use super::{inventory, progress, show, verdict};
+use super::{inventory, progress, show, show_outcomes, verdict};
 use crate::cli::Demo;
 
 /// Duration of the load.
@@ -30,6 +30,7 @@
     for (result, outcome) in [first?, second?] {
         println!("\n{}\n{}", result.deployment, report::table(&result));
         show(&outcome.violations);
+        show_outcomes(&outcome.pages);
         clean &= outcome.measure.is_clean();
     }
     Ok(verdict(clean))
--- a/components/bench/src/cmd/mod.rs
+++ b/components/bench/src/cmd/mod.rs
@@ -4,10 +4,13 @@
 pub mod list;
 pub mod run;
 
-use std::{fs, io::IsTerminal, path::Path, process::ExitCode};
+use std::{cmp::Reverse, collections::BTreeMap, fs, io::IsTerminal, path::Path, process::ExitCode};
 
 use eyre::WrapErr;
-use filbertsail_bench::checker::Violation;
+use filbertsail_bench::{
+    checker::Violation,
+    journal::{Outcome, Pages},
+};
 use filbertsail_config::inventory::Inventory;
 
 /// Most violations that are shown with their evidence.
@@ -31,6 +34,31 @@
     }
 }
 
+/// Number of attempts by outcome, and the slowest requests.
+fn show_outcomes(pages: &Pages) {
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for attempt in pages.calls.iter().flat_map(|call| &call.attempts) {
+        let name = match &attempt.outcome {
+            Outcome::Answer { .. } => "answered".to_owned(),
+            Outcome::Refused { status, verdict, code } => {
+                let verdict = verdict.map_or_else(|| "no verdict".to_owned(), |v| v.to_string());
+                format!("status {status} {code} {verdict}")
+            }
+            Outcome::Broken(cause) => format!("broken: {cause}"),
+        };
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    for (name, count) in counts {
+        println!("attempts {name}: {count}");
+    }
+    let mut slow: Vec<_> = pages.calls.iter().collect();
+    slow.sort_by_key(|call| Reverse(call.end.since(call.due)));
+    for call in slow.iter().take(3) {
+        let ms = call.end.since(call.due).as_millis();
+        println!("slowest {} {:?}: {ms} ms, {} attempts", call.id, call.kind, call.attempts.len());
+    }
+}
+
 fn verdict(clean: bool) -> ExitCode {
     if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/components/bench/src/cmd/run.rs
+++ b/components/bench/src/cmd/run.rs
@@ -12,7 +12,7 @@
     scenario,
 };
 
-use super::{inventory, progress, show, verdict};
+use super::{inventory, progress, show, show_outcomes, verdict};
 use crate::cli::Run;
 
 pub async fn run(args: Run) -> eyre::Result<ExitCode> {
@@ -45,6 +45,7 @@
         })
         .await?;
         show(&outcome.violations);
+        show_outcomes(&outcome.pages);
         result.policies.insert(policy.to_string(), outcome.measure);
         pages.push((policy.to_string(), outcome.pages));
     }
--- a/components/bench/src/measure/mod.rs
+++ b/components/bench/src/measure/mod.rs
@@ -95,9 +95,12 @@
     }
 }
 
+/// Largest value of a histogram: ten minutes in microseconds.
+const LARGEST: u64 = 600_000_000;
+
 fn histogram() -> Histogram<u64> {
-    // Three digits are always valid.
-    Histogram::new(3).expect("valid number of digits")
+    // These bounds and three digits are always valid.
+    Histogram::new_with_bounds(1, LARGEST, 3).expect("valid bounds and digits")
 }
 
 fn latency(pages: &Pages) -> Option<Latency> {
--- a/components/bench/src/operator/mod.rs
+++ b/components/bench/src/operator/mod.rs
@@ -106,6 +106,13 @@
 
     /// Observes the versions in force at all ready gateways until `stop`.
     pub async fn watch(self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.observe_all() => {}
+        }
+    }
+
+    async fn observe_all(&self) {
         let mut observations = 0_u64;
         loop {
             for (gateway, ready) in self.balancer.gateways() {
@@ -114,10 +121,7 @@
                     self.observe(&gateway, observations).await;
                 }
             }
-            tokio::select! {
-                () = stop.cancelled() => return,
-                () = sleep(WATCH_PERIOD) => {}
-            }
+            sleep(WATCH_PERIOD).await;
         }
     }
 
