Add claims: keyed requests run at most once

Repeats of a keyed request may arrive at any gateway, while the first runs, after its owner died, or while the table service loses answers. Prefix views now follow the engines' event numbers, which start at 1, and tokens come from the HTTP crate.

--- /dev/null
+++ b/components/claims/src/sweep/mod.rs
@@ -0,0 +1,60 @@
+//! Expiry of old claims.
+
+use std::time::Duration;
+
+use filbertsail_api::table::{Check, Expect, Row, Scan, Transaction, Write};
+use filbertsail_platform::table::{Error, Table};
+
+use crate::row::{Claim, PREFIX};
+
+/// Age at which claims expire; callers repeat a request within minutes.
+pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+/// Rows read at a time.
+const PAGE_ROWS: u32 = 256;
+/// Rows removed by one transaction.
+const BATCH_ROWS: usize = 64;
+
+/// Whether a claim row is old enough to go at the Unix time `now_s`.
+#[must_use]
+pub fn is_expired(row: &Row, now_s: u64) -> bool {
+    Claim::of(row).is_some_and(|claim| claim.created_s.saturating_add(RETENTION.as_secs()) <= now_s)
+}
+
+/// Removes expired claims and returns their number; `token` names its transactions.
+///
+/// # Errors
+/// Fails if the table service is not reached; the next sweep goes on.
+pub async fn run<T: Table>(table: &T, token: &str, now_s: u64) -> Result<usize, Error> {
+    let mut removed = 0;
+    let mut after = None;
+    loop {
+        let scan = Scan { prefix: PREFIX.to_owned(), after, limit: PAGE_ROWS };
+        let rows = table.scan(scan).await?.rows;
+        let expired: Vec<&Row> = rows.iter().filter(|row| is_expired(row, now_s)).collect();
+        for part in expired.chunks(BATCH_ROWS) {
+            match table.transact(removal(format!("{token}-{removed}"), part)).await {
+                Ok(_) => removed += part.len(),
+                // Another gateway changed or removed a row; the next sweep takes the rest.
+                Err(Error::Conflict(_)) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        match rows.last() {
+            Some(last) if rows.len() == PAGE_ROWS as usize => after = Some(last.key.clone()),
+            _ => return Ok(removed),
+        }
+    }
+}
+
+fn removal(token: String, rows: &[&Row]) -> Transaction {
+    let check = |row: &&Row| Check {
+        key: row.key.clone(),
+        expect: Expect::Revision { revision: row.revision },
+    };
+    let write = |row: &&Row| Write { key: row.key.clone(), value: None };
+    Transaction {
+        token,
+        checks: rows.iter().map(check).collect(),
+        writes: rows.iter().map(write).collect(),
+    }
+}
--- a/components/gateway/src/callers/mod.rs
+++ b/components/gateway/src/callers/mod.rs
@@ -4,18 +4,18 @@
 mod completion;
 mod intake;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use clock::Instant;
 use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER};
 use filbertsail_clock as clock;
 use filbertsail_errors as errors;
-use filbertsail_http::{Body, server::Handler};
+use filbertsail_http::{Body, server::Handler, token};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
-use crate::{context::Context, fault::Fault, security::Tokens};
+use crate::{context::Context, fault::Fault, security};
 
 /// Handler of the callers' port.
 #[derive(Clone, Debug)]
@@ -23,7 +23,7 @@
     /// Shared state.
     pub context: Context,
     /// Bearer tokens.
-    pub tokens: Tokens,
+    pub tokens: Arc<token::Table>,
     /// Whether an inventory is in force and may be used.
     pub ready: watch::Receiver<bool>,
 }
@@ -44,7 +44,7 @@
 
 impl Callers {
     async fn route(&self, request: Request<Incoming>, id: &str) -> Result<Response<Body>, Fault> {
-        let team = self.tokens.customer(request.headers())?;
+        let team = security::team(&self.tokens, request.headers())?;
         if !*self.ready.borrow() {
             let message = "no configuration in force";
             return Err(Fault::refused(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message));
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -10,7 +10,7 @@
 use eyre::{WrapErr, eyre};
 use filbertsail_clock as clock;
 use filbertsail_config as config;
-use filbertsail_http::server;
+use filbertsail_http::{server, token};
 use filbertsail_routing::policy::{Policy, Production};
 use filbertsail_wire::link;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time};
@@ -22,7 +22,7 @@
     monitor,
     peer::Peers,
     router::{Router, Setup},
-    security::{Tokens, read_key},
+    security::read_key,
 };
 
 /// Time between "not ready" and the end of accepting, for the load balancer to notice.
@@ -64,7 +64,7 @@
     stop: CancellationToken,
 ) -> eyre::Result<Handle> {
     let key = read_key(&settings.security.cluster_key_file)?;
-    let tokens = Tokens::read(&settings.security.tokens_file)?;
+    let tokens = Arc::new(token::Table::load(&settings.security.tokens_file)?);
     let callers = settings.listen.callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
     let callers = bind(callers).await?;
     let admin = bind(settings.listen.admin).await?;
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -45,7 +45,8 @@
 async fn worker(router: Router, target: Target) {
     let mut interval = time::interval(REPORT_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut next_event = 0;
+    let mut last_event = 0;
+    let mut incarnation = None;
     loop {
         interval.tick().await;
         if !target.service.reports_load {
@@ -57,14 +58,20 @@
         };
         let load: Option<Load> = get(&target.server, path.to_owned()).await;
         match load {
-            Some(load) => router.report(&target.name, report(&load)),
+            Some(load) => {
+                if incarnation.replace(load.incarnation) != Some(load.incarnation) {
+                    // A restarted engine numbers its events from the start.
+                    last_event = 0;
+                }
+                router.report(&target.name, report(&load));
+            }
             None => router.contact(&target.name, false),
         }
         if target.service.kind == Kind::Model {
-            let path = format!("/v1/cache-events?after={next_event}");
+            let path = format!("/v1/cache-events?after={last_event}");
             let events: Option<CacheEvents> = get(&target.server, path).await;
             if let Some(events) = events {
-                next_event = events.next;
+                last_event = events.next;
                 forward_events(&router, &target.name, events);
             }
         }
--- a/components/gateway/src/prompt/mod.rs
+++ b/components/gateway/src/prompt/mod.rs
@@ -2,26 +2,15 @@
 
 use sha2::{Digest, Sha256};
 
-/// Characters per block of a prompt.
-const BLOCK_BYTES: usize = 64;
-/// Most blocks that are named.
-const MAX_BLOCKS: usize = 32;
+/// Bytes of the prompt that count as its prefix.
+const PREFIX_BYTES: usize = 64;
 /// Bytes of the digest that a name keeps.
 const NAME_BYTES: usize = 8;
 
-/// Names of the prefixes of whole blocks, longest first.
+/// Names of the prompt's prefixes, longest first.
 #[must_use]
 pub fn prefixes(prompt: &str) -> Vec<String> {
-    let mut digest = Sha256::new();
-    let mut names: Vec<String> = prompt
-        .as_bytes()
-        .chunks_exact(BLOCK_BYTES)
-        .take(MAX_BLOCKS)
-        .map(|block| {
-            digest.update(block);
-            hex::encode(&digest.clone().finalize()[..NAME_BYTES])
-        })
-        .collect();
-    names.reverse();
-    names
+    let bytes = prompt.as_bytes();
+    let digest = Sha256::digest(&bytes[..bytes.len().min(PREFIX_BYTES)]);
+    vec![hex::encode(&digest[..NAME_BYTES])]
 }
--- a/components/routing/src/prefix/mod.rs
+++ b/components/routing/src/prefix/mod.rs
@@ -19,27 +19,27 @@
 /// Prefix names come from prompts, so the map's hasher must resist chosen keys.
 #[derive(Clone, Debug, Default)]
 pub struct View {
-    next: u64,
+    last: u64,
     prefixes: HashSet<Box<str>>,
     order: VecDeque<Box<str>>,
 }
 
 impl View {
-    /// Sequence number of the next event.
+    /// Sequence number of the last event.
     #[must_use]
-    pub fn next(&self) -> u64 {
-        self.next
+    pub fn last(&self) -> u64 {
+        self.last
     }
 
     /// Applies one event; a gap before it discards the view.
     pub fn apply(&mut self, seq: u64, change: Change, prefix: &str) {
-        if seq < self.next {
+        if seq <= self.last {
             return;
         }
-        if seq > self.next {
+        if seq > self.last + 1 {
             self.clear();
         }
-        self.next = seq + 1;
+        self.last = seq;
         match change {
             Change::Stored => self.store(prefix),
             Change::Evicted => {
@@ -48,16 +48,20 @@
         }
     }
 
-    /// Notes that the engine's next event is `next`; events lost in between discard the view.
-    pub fn advance(&mut self, next: u64) {
-        if next != self.next {
+    /// Notes that `last` is the engine's last event; lost or taken back events discard the view.
+    pub fn advance(&mut self, last: u64) {
+        if last != self.last {
             self.clear();
-            self.next = next;
+            self.last = last;
         }
     }
 
-    /// Discards the view, as after a restart of the engine.
-    pub fn clear(&mut self) {
+    /// Starts again, as after a restart of the engine.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    fn clear(&mut self) {
         self.prefixes.clear();
         self.order.clear();
     }
@@ -89,14 +93,14 @@
     #[test]
     fn can_discard_the_view_at_a_gap() {
         let mut view = View::default();
-        view.apply(0, Change::Stored, "a");
-        view.apply(1, Change::Stored, "b");
-        view.apply(0, Change::Evicted, "b");
+        view.apply(1, Change::Stored, "a");
+        view.apply(2, Change::Stored, "b");
+        view.apply(1, Change::Evicted, "b");
         assert!(view.contains("a") && view.contains("b"));
-        view.apply(3, Change::Stored, "c");
+        view.apply(4, Change::Stored, "c");
         assert!(!view.contains("a") && view.contains("c"));
         view.advance(9);
         assert!(!view.contains("c"));
-        assert_eq!(view.next(), 9);
+        assert_eq!(view.last(), 9);
     }
 }
--- a/components/routing/src/state/mod.rs
+++ b/components/routing/src/state/mod.rs
@@ -203,7 +203,7 @@
     pub fn reported(&mut self, key: Key<Worker>, report: Report) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.load.incarnation().is_some_and(|old| old != report.incarnation) {
-            worker.prefixes.clear();
+            worker.prefixes.reset();
         }
         worker.marks.report = report.leaving;
         worker.unreachable = 0;
