Wire agent, claims, trainer API and administration into the gateway

The daemon follows the configuration of the cluster agent, keeps keyed requests at most once by claims, serves the trainer API on the callers' port and the administration API on the admin port, and stops in order: not ready, 2 s grace, listeners closed, requests finished, agent ended.

--- a/components/gateway/src/callers/application.rs
+++ b/components/gateway/src/callers/application.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::{Callers, intake};
+use super::{Callers, intake, keyed};
 use crate::{
     fault::Fault,
     proxy::{self, Content, Plan, Reply, headers},
@@ -41,7 +41,13 @@
         body: intake::body(body).await?,
         deadline,
     };
-    proxy::execute(&callers.context, &plan).await.map(respond)
+    let key = plan.headers.get(keyed::HEADER).cloned();
+    match key {
+        Some(key) if !proxy::is_idempotent(&plan.service, &plan.method, &plan.path) => {
+            keyed::handle(callers, plan, &key).await
+        }
+        _ => proxy::execute(&callers.context, &plan).await.map(respond),
+    }
 }
 
 fn respond(reply: Reply) -> Response<Body> {
--- a/components/gateway/src/callers/mod.rs
+++ b/components/gateway/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod application;
 mod completion;
 mod intake;
+mod keyed;
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -13,19 +14,30 @@
 use filbertsail_http::{Body, server::Handler, token};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::sync::watch;
 
-use crate::{context::Context, fault::Fault, security};
+use crate::{
+    context::Context,
+    fault::Fault,
+    gate::Gate,
+    ports::{Claims, Objects, Rounds},
+    security,
+};
 
 /// Handler of the callers' port.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Callers {
     /// Shared state.
     pub context: Context,
     /// Bearer tokens.
     pub tokens: Arc<token::Table>,
-    /// Whether an inventory is in force and may be used.
-    pub ready: watch::Receiver<bool>,
+    /// Whether work is admitted.
+    pub gate: Gate,
+    /// Claims of keyed requests.
+    pub claims: Claims,
+    /// Object store, for answers too large for the table.
+    pub objects: Objects,
+    /// Trainer API.
+    pub rounds: Rounds,
 }
 
 impl Handler for Callers {
@@ -44,12 +56,12 @@
 
 impl Callers {
     async fn route(&self, request: Request<Incoming>, id: &str) -> Result<Response<Body>, Fault> {
-        let team = security::team(&self.tokens, request.headers())?;
-        if !*self.ready.borrow() {
-            let message = "no configuration in force";
-            return Err(Fault::refused(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message));
-        }
+        self.gate.admit()?;
         let path = request.uri().path();
+        if Rounds::serves(path) {
+            return Ok(self.rounds.handle(request).await);
+        }
+        let team = security::team(&self.tokens, request.headers())?;
         if let Some(rest) = path.strip_prefix("/s/") {
             let service = rest.split('/').next().unwrap_or_default().to_owned();
             return application::handle(self, request, &service, team, id).await;
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -1,32 +1,25 @@
 //! Start and graceful stop of a gateway.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+mod start;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use config::{inventory::Inventory, settings::Settings};
-use eyre::{WrapErr, eyre};
-use filbertsail_clock as clock;
+use config::settings::Settings;
+use eyre::WrapErr;
+use filbertsail_cluster::config::Snapshot;
 use filbertsail_config as config;
-use filbertsail_http::{server, token};
 use filbertsail_routing::policy::{Policy, Production};
-use filbertsail_wire::link;
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time};
+use tokio::{
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time,
+};
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    callers::Callers,
-    context::Context,
-    monitor,
-    peer::Peers,
-    router::{Router, Setup},
-    security::read_key,
-};
+use crate::{context::Context, gate::Gate, ports::Agent, router::Router};
 
 /// Time between "not ready" and the end of accepting, for the load balancer to notice.
-const DRAIN_GRACE: Duration = Duration::from_secs(2);
+pub const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
 /// Running gateway.
 #[derive(Debug)]
@@ -50,95 +43,74 @@
     }
 }
 
-/// Inventory in force, as the gateway follows it.
-pub type Inventories = watch::Receiver<Option<Arc<Inventory>>>;
-
-/// Starts a gateway with a source of inventories; ends gracefully after `stop`.
+/// Starts a gateway; it ends gracefully after `stop`.
 ///
 /// # Errors
 /// Fails if a key file cannot be read or a port cannot be bound.
-pub async fn start_with<P: Policy + Send + Sync + 'static>(
-    settings: Settings,
-    inventories: Inventories,
-    policy: P,
-    stop: CancellationToken,
-) -> eyre::Result<Handle> {
-    let key = read_key(&settings.security.cluster_key_file)?;
-    let tokens = Arc::new(token::Table::load(&settings.security.tokens_file)?);
-    let callers = settings.listen.callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
-    let callers = bind(callers).await?;
-    let admin = bind(settings.listen.admin).await?;
-    let peers = bind(settings.listen.peers).await?;
-    let incarnation = incarnation();
-    let router = Router::start(Setup {
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        policy,
-        clock: clock::Boot,
-        seed: incarnation,
-    });
-    let context = Context::new(&settings.name, incarnation, router.clone());
-    let (ready, is_ready) = watch::channel(false);
-    let addresses = (callers.local_addr()?, admin.local_addr()?, peers.local_addr()?);
-    let listeners = CancellationToken::new();
-    let handler = Callers { context: context.clone(), tokens, ready: is_ready };
-    let limits = server::Limits::default();
-    let callers = tokio::spawn(server::serve(callers, limits, handler, listeners.clone()));
-    let handler = Peers { context: context.clone() };
-    let peers = tokio::spawn(link::server::serve(peers, key, handler, listeners.clone()));
-    let background = [
-        tokio::spawn(follow(inventories, router.clone(), ready)),
-        tokio::spawn(monitor::workers(router)),
-    ];
-    let task = tokio::spawn(async move {
-        stop.cancelled().await;
-        time::sleep(DRAIN_GRACE).await;
-        listeners.cancel();
-        let _ = tokio::join!(callers, peers);
-        context.tasks.close();
-        context.tasks.wait().await;
-        background.iter().for_each(JoinHandle::abort);
-        drop(admin);
-    });
-    let (callers, admin, peers) = addresses;
-    Ok(Handle { callers, admin, peers, task })
+pub async fn start(settings: Settings, stop: CancellationToken) -> eyre::Result<Handle> {
+    start_with(settings, Production, stop).await
 }
 
-/// Starts a gateway with the production policy.
+/// Starts a gateway with another routing policy, for comparisons.
 ///
 /// # Errors
 /// Fails if a key file cannot be read or a port cannot be bound.
-pub async fn start_with_inventory(
+pub async fn start_with<P: Policy + Send + Sync + 'static>(
     settings: Settings,
-    inventory: Inventory,
+    policy: P,
     stop: CancellationToken,
 ) -> eyre::Result<Handle> {
-    let (sender, inventories) = watch::channel(Some(Arc::new(inventory)));
-    let handle = start_with(settings, inventories, Production, stop).await;
-    drop(sender);
-    handle
+    let parts = start::parts(&settings, policy).await?;
+    let (callers, admin, peers) = (parts.callers, parts.admin, parts.peers);
+    Ok(Handle { callers, admin, peers, task: tokio::spawn(parts.run(stop)) })
 }
 
-/// Puts each inventory in force.
-async fn follow(mut inventories: Inventories, router: Router, ready: watch::Sender<bool>) {
-    loop {
-        let inventory = inventories.borrow_and_update().clone();
-        if let Some(inventory) = inventory {
-            router.set_inventory(inventory);
-            ready.send_replace(true);
-        }
-        if inventories.changed().await.is_err() {
-            return std::future::pending().await;
-        }
-    }
+/// What a stop needs.
+struct Parts {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    peers: SocketAddr,
+    context: Context,
+    gate: Gate,
+    agent: Agent,
+    agent_stop: CancellationToken,
+    listeners: CancellationToken,
+    servers: JoinSet<()>,
+    admin_stop: CancellationToken,
+    admin_server: JoinHandle<()>,
+    background: JoinSet<()>,
 }
 
-async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("listen on {address}"))
+impl Parts {
+    /// Serves until `stop`, then ends without interrupting a request.
+    async fn run(mut self, stop: CancellationToken) {
+        stop.cancelled().await;
+        self.gate.stop();
+        self.agent.set_draining(true);
+        time::sleep(DRAIN_GRACE).await;
+        self.listeners.cancel();
+        while self.servers.join_next().await.is_some() {}
+        self.context.tasks.close();
+        self.context.tasks.wait().await;
+        self.background.shutdown().await;
+        self.agent_stop.cancel();
+        self.agent.join().await;
+        self.admin_stop.cancel();
+        // Fails only if the server panicked.
+        let _ = self.admin_server.await;
+    }
 }
 
-/// Rises with each start, as long as the VM's wall clock does not go back.
-fn incarnation() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+/// Puts each configuration in force.
+async fn follow(mut configs: watch::Receiver<Option<Arc<Snapshot>>>, router: Router, gate: Gate) {
+    loop {
+        let config = configs.borrow_and_update().clone();
+        if let Some(config) = config {
+            router.set_config(config).await;
+            gate.set_in_force();
+        }
+        if configs.changed().await.is_err() {
+            return;
+        }
+    }
 }
--- /dev/null
+++ b/components/gateway/src/daemon/start.rs
@@ -0,0 +1,199 @@
+//! Parts of a gateway.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use config::settings::Settings;
+use eyre::{WrapErr, eyre};
+use filbertsail_admin as admin;
+use filbertsail_claims as claims;
+use filbertsail_clock::Boot;
+use filbertsail_cluster::{agent, subset};
+use filbertsail_config as config;
+use filbertsail_http::{server, token};
+use filbertsail_platform::{budget, object, table, vm};
+use filbertsail_rounds::reach;
+use filbertsail_routing::policy::Policy;
+use filbertsail_telemetry::metrics::Registry;
+use filbertsail_wire::{
+    frame::{Hello, Role},
+    link,
+};
+use tokio::{net::TcpListener, task::JoinSet, time};
+use tokio_util::sync::CancellationToken;
+
+use super::{Parts, follow};
+use crate::{
+    callers::Callers,
+    context::Context,
+    fleet::Fleet,
+    gate::Gate,
+    marks, monitor,
+    peer::Peers,
+    ports::{Agent, Claims, Members, Rounds, Table},
+    router::{Router, Setup},
+    security::read_key,
+};
+
+/// Interval at which old claims are removed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(600);
+
+pub(super) async fn parts<P: Policy + Send + Sync + 'static>(
+    settings: &Settings,
+    policy: P,
+) -> eyre::Result<Parts> {
+    let key = read_key(&settings.security.cluster_key_file)?;
+    let tokens = Arc::new(token::Table::load(&settings.security.tokens_file)?);
+    let callers_address =
+        settings.listen.callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
+    let callers_port = bind(callers_address).await?;
+    let admin_port = bind(settings.listen.admin).await?;
+    let peers_port = bind(settings.listen.peers).await?;
+    let peers = peers_port.local_addr()?;
+    let incarnation = incarnation();
+    let table = table_client(settings);
+    let objects = object::http::Client::new(settings.platform.objects);
+    let identity = agent::Identity {
+        name: settings.name.clone(),
+        role: Role::Gateway,
+        zone: settings.zone.clone(),
+        address: peers,
+        incarnation,
+        key: key.clone(),
+    };
+    let agent_stop = CancellationToken::new();
+    let agent_settings = agent::Settings {
+        seeds: settings.peers.seeds.clone(),
+        budget: Some(table.budget().clone()),
+        ..agent::Settings::default()
+    };
+    let agent = agent::start(identity, agent_settings, table.clone(), agent_stop.clone());
+    let router = Router::start(Setup {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        policy,
+        clock: Boot,
+        seed: incarnation,
+    });
+    let context = Context::new(&settings.name, incarnation, router.clone());
+    let gate = Gate::new(agent.ready());
+    let members = Members(agent.clone());
+    let claims: Claims = claims::Claims::start(claims::Setup {
+        owner: settings.name.clone(),
+        incarnation,
+        table: table.clone(),
+        objects: objects.clone(),
+        members: members.clone(),
+        clock: Boot,
+    });
+    let hello = hello(settings, peers, incarnation);
+    let reach = reach::Peers::new(table.clone(), members, key.clone(), hello);
+    let rounds = Rounds::new(table.clone(), objects.clone(), reach, tokens.clone(), key.clone());
+    let handler = Callers {
+        context: context.clone(),
+        tokens: tokens.clone(),
+        gate: gate.clone(),
+        claims,
+        objects,
+        rounds,
+    };
+    let listeners = CancellationToken::new();
+    let limits = server::Limits::default();
+    let (callers, admin) = (callers_port.local_addr()?, admin_port.local_addr()?);
+    let mut servers = JoinSet::new();
+    servers.spawn(server::serve(callers_port, limits, handler, listeners.clone()));
+    let handler = Peers { context: context.clone(), gate: gate.clone(), agent: agent.clone() };
+    servers.spawn(link::server::serve(peers_port, key, handler, listeners.clone()));
+    let fleet = Fleet {
+        name: settings.name.as_str().into(),
+        incarnation,
+        router: router.clone(),
+        agent: agent.clone(),
+        table: table.clone(),
+        gate: gate.clone(),
+        commands: Arc::default(),
+    };
+    let handler = admin::Handler::new(fleet, tokens, Registry::new(&settings.name)?);
+    let admin_stop = CancellationToken::new();
+    let admin_server = tokio::spawn(server::serve(admin_port, limits, handler, admin_stop.clone()));
+    let mut background = JoinSet::new();
+    background.spawn(follow(agent.config(), router.clone(), gate.clone()));
+    background.spawn(monitor::workers(router.clone()));
+    let vms = vm::http::Client::new(settings.platform.vms);
+    background.spawn(monitor::vm_list(router.clone(), vms));
+    let name = settings.name.clone();
+    background.spawn(marks::follow(table.clone(), router, name, gate.clone(), agent.clone()));
+    background.spawn(sweep(table, agent.clone(), settings.name.clone(), incarnation));
+    Ok(Parts {
+        callers,
+        admin,
+        peers,
+        context,
+        gate,
+        agent,
+        agent_stop,
+        listeners,
+        servers,
+        admin_stop,
+        admin_server,
+        background,
+    })
+}
+
+fn table_client(settings: &Settings) -> Table {
+    let rates = budget::Rates {
+        writes_per_s: settings.platform.table_writes_per_s,
+        reads_per_s: settings.platform.table_reads_per_s,
+    };
+    let adapter = table::http::Client::new(settings.platform.table);
+    table::resolve::Client::new(adapter, budget::Budget::new(rates))
+}
+
+fn hello(settings: &Settings, address: SocketAddr, incarnation: u64) -> Hello {
+    Hello {
+        protocol: 1,
+        name: settings.name.clone(),
+        incarnation,
+        zone: settings.zone.clone(),
+        address,
+        sent_at_ms: 0,
+        nonce: rand::random(),
+    }
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("listen on {address}"))
+}
+
+/// Rises with each start, as long as the VM's wall clock does not go back.
+fn incarnation() -> u64 {
+    u64::try_from(unix_time().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Removes old claims now and then, at the one gateway that ranks first among the live ones.
+async fn sweep(table: Table, agent: Agent, name: String, incarnation: u64) {
+    for number in 0u64.. {
+        let jitter = rand::random_range(0.5..1.5);
+        time::sleep(SWEEP_INTERVAL.mul_f64(jitter)).await;
+        if !ranks_first(&agent, &name) {
+            continue;
+        }
+        let token = format!("{name}-{incarnation:x}-sweep-{number:x}");
+        // A failed sweep is made up for by the next one.
+        let _ = claims::sweep::run(&table, &token, unix_time().as_secs()).await;
+    }
+}
+
+fn ranks_first(agent: &Agent, name: &str) -> bool {
+    let members = agent.members().borrow().clone();
+    let gateways = members.iter().filter(|it| it.live && it.role == Role::Gateway);
+    let others = gateways.map(|it| it.name.as_str()).filter(|other| *other != name);
+    subset::rank(claims::row::PREFIX, name, others) == 0
+}
--- /dev/null
+++ b/components/gateway/src/fleet/mod.rs
@@ -0,0 +1,155 @@
+//! The fleet as the administration API sees it through this gateway.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use api::{
+    admin::{Answer, Applied, Apply, Daemon, Drain, Drained, Head, Holder, Question, Role, Status},
+    table::Scan,
+};
+use filbertsail_admin::{Fleet as Port, Health, Refused};
+use filbertsail_api as api;
+use filbertsail_cluster::{config::apply::Error as NotApplied, member::State};
+use filbertsail_platform::table::{Error, Table as _};
+use filbertsail_wire::frame;
+use serde_json::Value;
+
+use crate::{
+    gate::Gate,
+    marks,
+    ports::{Agent, Table},
+    router::Router,
+};
+
+/// Prefix of lease rows.
+const LEASES: &str = "lease/";
+/// Most leases shown.
+const MAX_LEASES: u32 = 1_000;
+
+/// The fleet as seen by one gateway, cheap to clone.
+#[derive(Clone)]
+pub struct Fleet {
+    /// Gateway name.
+    pub name: Arc<str>,
+    /// Incarnation of the gateway.
+    pub incarnation: u64,
+    /// Routing task.
+    pub router: Router,
+    /// Agent.
+    pub agent: Agent,
+    /// Table service.
+    pub table: Table,
+    /// Whether work is admitted.
+    pub gate: Gate,
+    /// Number of drain commands, for their tokens.
+    pub commands: Arc<AtomicU64>,
+}
+
+impl Health for Fleet {
+    fn unready(&self) -> Option<String> {
+        self.gate.unready().map(str::to_owned)
+    }
+}
+
+impl Port for Fleet {
+    async fn head(&self) -> Option<Head> {
+        let config = self.agent.config().borrow().clone()?;
+        Some(Head {
+            digest: config.digest.clone(),
+            text: config.text.to_string(),
+            version: config.version,
+        })
+    }
+
+    async fn status(&self) -> Status {
+        let config = self.agent.config().borrow().clone();
+        let members = self.agent.members().borrow().clone();
+        Status {
+            backends: self.router.backends().await,
+            config_version: config.map_or(0, |config| config.version),
+            daemons: members.iter().map(daemon).collect(),
+            gateway: self.name.to_string(),
+            leases: self.leases().await,
+            ready: self.gate.unready().is_none(),
+            table_reachable: self.agent.table_reachable(),
+        }
+    }
+
+    async fn apply(&self, apply: Apply) -> Result<Applied, Refused> {
+        self.agent.apply(apply).await.map_err(|error| match error {
+            NotApplied::Lost(lost) => Refused::Lost(lost),
+            error @ NotApplied::Unknown { .. } => Refused::Unknown(error.to_string()),
+            error => Refused::Unavailable(error.to_string()),
+        })
+    }
+
+    async fn drain(&self, drain: Drain) -> Result<Drained, Refused> {
+        let backends = self.router.backends().await;
+        let worker = backends.iter().find(|backend| backend.name == drain.name);
+        let known = worker.is_some() || self.is_known(&drain.name);
+        if !known {
+            return Err(Refused::NotFound(format!("no worker or daemon {}", drain.name)));
+        }
+        let number = self.commands.fetch_add(1, Ordering::Relaxed);
+        let token = format!("{}-{:x}-drain-{number:x}", self.name, self.incarnation);
+        marks::set(&self.table, &drain.name, drain.draining, token).await.map_err(refused)?;
+        Ok(Drained {
+            draining: drain.draining,
+            in_flight: worker.map_or(0, |backend| backend.in_flight),
+            name: drain.name,
+        })
+    }
+
+    async fn explain(&self, question: Question) -> Result<Answer, Refused> {
+        let unknown = || Refused::NotFound(format!("no service {}", question.service));
+        self.router.explain(question.clone()).await.ok_or_else(unknown)
+    }
+}
+
+impl Fleet {
+    /// Workers outside of this gateway's subset are known by the configuration.
+    fn is_known(&self, name: &str) -> bool {
+        let config = self.agent.config().borrow().clone();
+        let in_config = config.is_some_and(|config| {
+            config.inventory.workers.iter().any(|worker| worker.name == name)
+        });
+        in_config || self.agent.members().borrow().iter().any(|member| member.name == name)
+    }
+
+    async fn leases(&self) -> Vec<Holder> {
+        let scan = Scan { prefix: LEASES.to_owned(), after: None, limit: MAX_LEASES };
+        let Ok(page) = self.table.scan(scan).await else { return Vec::new() };
+        let holder = |row: &api::table::Row| {
+            Some(Holder {
+                epoch: row.value.get("epoch").and_then(Value::as_u64)?,
+                holder: row.value.get("holder").and_then(Value::as_str)?.to_owned(),
+                scope: row.key.strip_prefix(LEASES)?.to_owned(),
+            })
+        };
+        page.rows.iter().filter_map(holder).collect()
+    }
+}
+
+fn refused(error: Error) -> Refused {
+    match error {
+        Error::Unknown(reason) => Refused::Unknown(reason),
+        error => Refused::Unavailable(error.to_string()),
+    }
+}
+
+fn daemon(member: &State) -> Daemon {
+    Daemon {
+        config_version: member.config_version,
+        draining: member.draining,
+        incarnation: member.incarnation,
+        live: member.live,
+        name: member.name.clone(),
+        role: match member.role {
+            frame::Role::Gateway => Role::Gateway,
+            frame::Role::Controller => Role::Controller,
+        },
+        zone: member.zone.clone(),
+    }
+}
--- a/components/gateway/src/main.rs
+++ b/components/gateway/src/main.rs
@@ -1,3 +1,40 @@
 //! Gateway daemon.
 
-fn main() {}
+mod cli;
+
+use std::fs;
+
+use eyre::WrapErr;
+use filbertsail_config::settings::Settings;
+use filbertsail_gateway::daemon;
+use filbertsail_telemetry::logs;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+fn main() -> eyre::Result<()> {
+    let cli: cli::Cli = argh::from_env();
+    let at = || format!("settings file {}", cli.settings.display());
+    let text = fs::read_to_string(&cli.settings).wrap_err_with(at)?;
+    let settings = Settings::parse(&text).wrap_err_with(at)?;
+    logs::start(&settings.log.level, settings.log.file.as_deref())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let stop = CancellationToken::new();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handle = daemon::start(settings, stop.clone()).await?;
+    tokio::spawn(async move {
+        // Later signals change nothing.
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            stop.cancel();
+        }
+    });
+    handle.join().await
+}
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -21,8 +21,12 @@
     router::{CacheEvent, Router, Source, Target},
 };
 
-/// Interval of load reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Least interval of load reports of one worker.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest interval; a leaving worker must get no new work after 3 s.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time per worker, which bounds the rate of all reports together.
+const REPORT_SPACING: Duration = Duration::from_millis(50);
 /// Time limit of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval of reads of the VM list.
@@ -33,8 +37,14 @@
     let mut targets = router.targets();
     loop {
         let mut tasks = JoinSet::new();
-        for target in targets.borrow_and_update().iter() {
-            tasks.spawn(worker(router.clone(), target.clone()));
+        {
+            let targets = targets.borrow_and_update();
+            let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+            let interval = REPORT_SPACING.saturating_mul(count);
+            let interval = interval.clamp(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL);
+            for target in targets.iter() {
+                tasks.spawn(worker(router.clone(), target.clone(), interval));
+            }
         }
         if targets.changed().await.is_err() {
             return;
@@ -42,8 +52,8 @@
     }
 }
 
-async fn worker(router: Router, target: Target) {
-    let mut interval = time::interval(REPORT_INTERVAL);
+async fn worker(router: Router, target: Target, interval: Duration) {
+    let mut interval = time::interval(interval);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_event = 0;
     let mut incarnation = None;
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -20,7 +20,9 @@
     backend::{Call, Failure, Kind as FailureKind, body},
     context::Context,
     fault::Fault,
+    gate::Gate,
     generate::{self, Item, Plan, fault},
+    ports::Agent,
 };
 
 /// Tokens that wait for the link's flow control.
@@ -29,10 +31,14 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Handler of the peer port.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Peers {
     /// Shared state.
     pub context: Context,
+    /// Whether work is admitted.
+    pub gate: Gate,
+    /// Agent, which answers other daemons about the fleet.
+    pub agent: Agent,
 }
 
 impl Handler for Peers {
@@ -46,6 +52,7 @@
             Frame::Survey(Survey { service }) => {
                 Workers { workers: self.context.router.survey(&service).await }.into()
             }
+            Frame::Digest(_) | Frame::Hint(_) | Frame::Pull(_) => self.agent.answer(request).await,
             _ => Fault::refused(StatusCode::NOT_FOUND, "unknown_call", "not for a gateway")
                 .frame()
                 .into(),
@@ -76,6 +83,7 @@
     }
 
     fn plan(&self, dispatch: Dispatch) -> Result<Plan, Fault> {
+        self.gate.admit()?;
         let service = self.context.router.service(&dispatch.service);
         let service = service.filter(|service| service.kind == Kind::Model).ok_or_else(|| {
             Fault::refused(StatusCode::NOT_FOUND, "unknown_service", "no such model")
--- a/components/gateway/src/router/mod.rs
+++ b/components/gateway/src/router/mod.rs
@@ -9,10 +9,10 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use clock::Instant;
-use config::inventory::{Inventory, Service as Entry};
+use config::inventory::Service as Entry;
 use filbertsail_api as api;
 use filbertsail_clock as clock;
+use filbertsail_cluster::config::Snapshot;
 use filbertsail_config as config;
 use filbertsail_routing::{policy::Policy, prefix::Change, state::Report};
 use filbertsail_wire::frame;
@@ -61,7 +61,7 @@
 pub(crate) enum Message {
     Admit(Admission, oneshot::Sender<Result<Grant, Refusal>>),
     Finished(admission::Finished),
-    Inventory(Arc<Inventory>),
+    Inventory(Arc<Snapshot>, oneshot::Sender<()>),
     Report { worker: String, report: Report },
     Contact { worker: String, reached: bool },
     Cache { worker: String, events: Vec<CacheEvent>, next: u64 },
@@ -132,9 +132,9 @@
         answer.await.unwrap_or(Err(Refusal::Stopped))
     }
 
-    /// Puts an inventory in force.
-    pub fn set_inventory(&self, inventory: Arc<Inventory>) {
-        self.send(Message::Inventory(inventory));
+    /// Puts a configuration in force and waits until it is.
+    pub async fn set_config(&self, config: Arc<Snapshot>) {
+        self.ask(|reply| Message::Inventory(config, reply)).await;
     }
 
     /// Takes a load report; `taken_at` is its arrival less the age that the worker states.
@@ -183,9 +183,3 @@
         let _ = self.messages.send(message);
     }
 }
-
-/// Time left until `deadline`.
-#[must_use]
-pub fn time_left(now: Instant, deadline: Instant) -> std::time::Duration {
-    deadline.since(now)
-}
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -27,7 +27,7 @@
 /// Waiting requests per service.
 const QUEUE_CAPACITY: usize = 4_096;
 /// Largest number of workers of a service that one gateway uses.
-const SUBSET_SIZE: usize = 64;
+const SUBSET_SIZE: usize = 16;
 /// Longest wait for a worker.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// Interval at which deadlines and pauses of breakers are looked at.
@@ -93,7 +93,10 @@
         match message {
             Message::Admit(admission, reply) => self.admit(admission, reply),
             Message::Finished(finished) => self.finished(&finished),
-            Message::Inventory(inventory) => self.take_over(&inventory),
+            Message::Inventory(config, reply) => {
+                self.take_over(&config.inventory);
+                let _ = reply.send(());
+            }
             Message::Report { worker, report } => {
                 if let Some(key) = self.fleet.worker_key(&worker) {
                     self.fleet.reported(key, report);
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -12,9 +12,13 @@
 };
 
 use bytes::Bytes;
+use filbertsail_api::table::{Transaction, Write};
+use filbertsail_cluster::config;
 use filbertsail_config::{inventory::Inventory, settings::Settings};
 use filbertsail_gateway::daemon::{self, Handle};
 use filbertsail_http::{Body, client::Client};
+use filbertsail_platform::table::{Table as _, http as http_table};
+use filbertsail_standin::{object, server::Place, table, vm};
 use http::{Method, Request, Response};
 use tempfile::TempDir;
 use tokio::{
@@ -27,6 +31,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// Cluster key of all tests.
 pub const KEY: [u8; 32] = [7; 32];
+/// Operator's token of all tests.
+pub const OPERATOR: &str = "operator-token-of-tests";
 
 /// Backend server that follows a script for each connection.
 pub struct Scripted {
@@ -136,20 +142,64 @@
     .await
 }
 
+/// Stand-ins of the platform's services.
+pub struct Platform {
+    pub table: table::Table,
+    pub objects: object::Store,
+    pub vms: vm::List,
+    version: AtomicUsize,
+}
+
+fn free() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("address")
+}
+
+impl Platform {
+    pub fn start() -> Self {
+        let stop = CancellationToken::new();
+        let place = Place::default;
+        let options = table::Options::default();
+        let table = table::start(free(), options, place(), stop.clone()).expect("table");
+        let options = table::Options::default();
+        let objects = object::start(free(), options, place(), stop.clone()).expect("objects");
+        let vms = vm::start(free(), Vec::new(), Duration::ZERO, place(), stop).expect("vms");
+        Self { table, objects, vms, version: AtomicUsize::new(0) }
+    }
+
+    /// Writes an inventory as the next configuration version.
+    pub async fn configure(&self, inventory: &Inventory) {
+        let version = self.version.fetch_add(1, Ordering::SeqCst) as u64 + 1;
+        let text = toml::to_string(inventory).expect("TOML");
+        let digest = filbertsail_config::digest(&text);
+        let author = "test".to_owned();
+        let head = config::Head { version, digest: digest.clone(), author: author.clone() };
+        let row = config::Version { version, digest, author, text };
+        let write = |key: String, value| Write { key, value: Some(value) };
+        let writes = vec![
+            write(config::HEAD.to_owned(), serde_json::to_value(head).expect("JSON")),
+            write(config::key(version), serde_json::to_value(row).expect("JSON")),
+        ];
+        let token = format!("test-{version}");
+        let client = http_table::Client::new(self.table.address);
+        client.transact(Transaction { token, checks: vec![], writes }).await.expect("commits");
+    }
+}
+
 /// Running gateway with its files.
 pub struct Gateway {
     pub handle: Handle,
     pub stop: CancellationToken,
+    pub platform: Arc<Platform>,
     _files: TempDir,
 }
 
 /// Settings with keys in `files` and free ports.
-pub fn settings(files: &TempDir, name: &str) -> Settings {
+pub fn settings(files: &TempDir, name: &str, platform: &Platform) -> String {
     let key = files.path().join("cluster.key");
     let tokens = files.path().join("tokens");
     std::fs::write(&key, hex::encode(KEY)).expect("key file");
-    std::fs::write(&tokens, "").expect("tokens file");
-    let text = format!(
+    std::fs::write(&tokens, format!("{OPERATOR} operator ops\n")).expect("tokens file");
+    format!(
         r#"
         name = "{name}"
         zone = "perth-a"
@@ -159,18 +209,20 @@
         admin = "127.0.0.1:0"
         peers = "127.0.0.1:0"
         [platform]
-        table = "127.0.0.1:1"
-        objects = "127.0.0.1:1"
-        vms = "127.0.0.1:1"
+        table = "{}"
+        objects = "{}"
+        vms = "{}"
         weights = "127.0.0.1:1"
         [security]
         cluster_key_file = "{}"
         tokens_file = "{}"
         "#,
+        platform.table.address,
+        platform.objects.address,
+        platform.vms.address,
         key.display(),
         tokens.display()
-    );
-    Settings::parse(&text).expect("settings")
+    )
 }
 
 /// Inventory with one zone, the given service lines and its workers.
@@ -202,11 +254,41 @@
 
 impl Gateway {
     pub async fn start(inventory: Inventory) -> Self {
+        let platform = Arc::new(Platform::start());
+        platform.configure(&inventory).await;
+        Self::join(platform, "gateway-1").await
+    }
+
+    /// Starts another gateway of the same fleet.
+    pub async fn join(platform: Arc<Platform>, name: &str) -> Self {
         let files = TempDir::new().expect("folder");
         let stop = CancellationToken::new();
-        let settings = settings(&files, "gateway-1");
-        let handle = daemon::start_with_inventory(settings, inventory, stop.clone()).await;
-        Self { handle: handle.expect("starts"), stop, _files: files }
+        let settings = Settings::parse(&settings(&files, name, &platform)).expect("settings");
+        let handle = daemon::start(settings, stop.clone()).await.expect("starts");
+        let gateway = Self { handle, stop, platform, _files: files };
+        gateway.wait_ready().await;
+        gateway
+    }
+
+    async fn wait_ready(&self) {
+        let until = tokio::time::Instant::now() + PATIENCE;
+        while self.readiness().await != 200 {
+            assert!(tokio::time::Instant::now() < until, "never ready");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub async fn readiness(&self) -> u16 {
+        readiness(self.handle.admin).await
+    }
+
+    /// Call of the administration API by an operator.
+    pub async fn admin(&self, method: Method, path: &str, body: &str) -> Response<Bytes> {
+        let uri = format!("http://{}{path}", self.handle.admin);
+        let request = Request::builder().method(method).uri(uri);
+        let request = request.header("authorization", format!("Bearer {OPERATOR}"));
+        let request = request.body(Body::full(body.to_owned())).expect("request");
+        Client::default().send(request, PATIENCE).await.expect("whole response")
     }
 
     /// Gateway for application workers that report no load.
@@ -235,6 +317,13 @@
     }
 }
 
+/// Status of `/readyz`; 0 if it cannot be reached.
+pub async fn readiness(admin: SocketAddr) -> u16 {
+    let request = Request::get(format!("http://{admin}/readyz")).body(Body::empty());
+    let response = Client::default().send(request.expect("request"), PATIENCE).await;
+    response.map_or(0, |response| response.status().as_u16())
+}
+
 /// Verdict of an error response, which header and body must state alike.
 pub fn verdict(response: &Response<Bytes>) -> String {
     let header = response.headers().get("filbertsail-verdict").expect("verdict header");
