--- /dev/null
+++ b/components/gateway/tests/streams.rs
@@ -0,0 +1,270 @@
+//! Completions over real sockets: whole, streamed, broken, resumed, and for controllers.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+
+use common::{Gateway, KEY, Scripted, inventory, verdict};
+use filbertsail_api::engine::{Completion, Event, Finish, Label};
+use filbertsail_wire::{
+    Frame,
+    frame::{Dispatch, Hello, Order, Survey},
+    link::{auth::Key, client::Client},
+};
+use http::Method;
+
+const OPTIONS: &str = "reports_load = false\nresumes_streams = true";
+const NO_RESUME: &str = "reports_load = false";
+const ASK: &str = r#"{"model":"svc","prompt":"When is my next drop?","max_tokens":6}"#;
+const ASK_STREAM: &str =
+    r#"{"model":"svc","prompt":"When is my next drop?","max_tokens":6,"stream":true}"#;
+
+/// What an engine does with a stream.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Whole,
+    /// Ends the connection after this many tokens.
+    Cut(u32),
+    /// Sends token 1 twice.
+    Repeat,
+    /// Sends another request's token.
+    Foreign,
+    /// States one token more than it sent.
+    Overstate,
+    /// Refuses with 503.
+    Refuse,
+}
+
+type Seen = Arc<Mutex<Vec<Completion>>>;
+
+async fn engine(act: Act) -> (Scripted, Seen) {
+    let seen = Seen::default();
+    let log = seen.clone();
+    let server = Scripted::start(move |_, mut conn| {
+        let log = log.clone();
+        async move {
+            while let Some(request) = conn.request().await {
+                if request.head.starts_with("POST /v1/orders") {
+                    conn.answer(&request.id, r#"{"accepted":true,"weight_version":9,"epoch":4}"#)
+                        .await;
+                    continue;
+                }
+                let completion: Completion =
+                    serde_json::from_slice(&request.body).expect("completion");
+                log.lock().expect("lock").push(completion.clone());
+                if let Act::Refuse = act {
+                    conn.write("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n").await;
+                    continue;
+                }
+                conn.write(&stream(act, &completion)).await;
+                if let Act::Cut(_) = act {
+                    return;
+                }
+            }
+        }
+    })
+    .await;
+    (server, seen)
+}
+
+fn stream(act: Act, completion: &Completion) -> String {
+    let id = completion.request_id.clone();
+    let from = completion.resume_from.as_ref().map_or(0, |resume| resume.tokens);
+    let mut text = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n"
+        .to_owned();
+    let token = |index: u32, id: &str| {
+        let event = Event {
+            request_id: id.to_owned(),
+            index,
+            text: format!("t{index} "),
+            weight_version: 7,
+        };
+        chunk(&serde_json::to_string(&event).expect("JSON"))
+    };
+    for index in from..completion.max_tokens {
+        match act {
+            Act::Cut(after) if index >= after => return text,
+            Act::Foreign if index == 2 => text.push_str(&token(index, "other")),
+            Act::Repeat if index == 2 => text.push_str(&token(1, &id)),
+            _ => text.push_str(&token(index, &id)),
+        }
+    }
+    let tokens = completion.max_tokens + u32::from(matches!(act, Act::Overstate));
+    let labels = vec![Label { version: 7, from: 0, to: completion.max_tokens }];
+    let reason = "length".to_owned();
+    let finish = Finish { request_id: id, done: true, tokens, labels, text: None, reason };
+    text.push_str(&chunk(&serde_json::to_string(&finish).expect("JSON")));
+    text + "0\r\n\r\n"
+}
+
+fn chunk(json: &str) -> String {
+    let event = format!("data: {json}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+async fn gateway(options: &str, engines: &[&Scripted]) -> Gateway {
+    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
+    Gateway::start(inventory("model", options, &addresses)).await
+}
+
+/// Texts of a streamed answer, and its last line.
+fn texts(body: &[u8]) -> (String, String) {
+    let body = String::from_utf8(body.to_vec()).expect("text");
+    let data = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let text = data
+        .clone()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+        .filter_map(|it| it["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect();
+    (text, data.last().unwrap_or_default().to_owned())
+}
+
+const WHOLE: &str = "t0 t1 t2 t3 t4 t5 ";
+
+#[tokio::test]
+async fn can_complete_whole_and_streamed() {
+    let (up, _) = engine(Act::Whole).await;
+    let gateway = gateway(OPTIONS, &[&up]).await;
+    let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
+    let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
+    assert_eq!(body["choices"][0]["text"], WHOLE, "{body}");
+    assert_eq!(body["usage"]["completion_tokens"], 6);
+    let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
+    assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
+    let chat = r#"{"model":"svc","messages":[{"role":"user","content":"Hi"}],"max_tokens":6}"#;
+    let response = gateway.call(Method::POST, "/v1/chat/completions", chat).await;
+    let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
+    assert_eq!(body["choices"][0]["message"]["content"], WHOLE, "{body}");
+    // Streams that end well keep their connection.
+    assert_eq!(up.connections.load(std::sync::atomic::Ordering::SeqCst), 1);
+}
+
+/// Guards against tokens lost or repeated where a broken stream continues at another worker.
+#[tokio::test]
+async fn can_resume_a_broken_stream_from_its_last_token() {
+    let (broken, first) = engine(Act::Cut(3)).await;
+    let (up, second) = engine(Act::Whole).await;
+    let gateway = gateway(OPTIONS, &[&broken, &up]).await;
+    for _ in 0..8 {
+        let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
+        assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
+    }
+    assert!(!first.lock().expect("lock").is_empty(), "the broken engine was never chosen");
+    let resumed = second.lock().expect("lock");
+    let resume = resumed.iter().find_map(|it| it.resume_from.clone()).expect("resumed");
+    assert_eq!((resume.tokens, &*resume.text), (3, "t0 t1 t2 "));
+}
+
+/// Guards against a short success where the service cannot resume.
+#[tokio::test]
+async fn can_end_a_broken_stream_with_an_error_event() {
+    let (broken, _) = engine(Act::Cut(3)).await;
+    let gateway = gateway(NO_RESUME, &[&broken]).await;
+    let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
+    let (text, last) = texts(response.body());
+    assert_eq!(text, "t0 t1 t2 ");
+    let fault: serde_json::Value = serde_json::from_str(&last).expect("JSON");
+    assert_eq!(fault["error"]["verdict"], "may_have_run", "{fault}");
+    assert!(String::from_utf8_lossy(response.body()).contains("event: error\n"));
+}
+
+/// Guards against a whole answer that fails although nothing of it was shown yet.
+#[tokio::test]
+async fn can_start_an_unseen_answer_again() {
+    let (broken, _) = engine(Act::Cut(3)).await;
+    let (up, _) = engine(Act::Whole).await;
+    let gateway = gateway(NO_RESUME, &[&broken, &up]).await;
+    for _ in 0..8 {
+        let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
+        let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
+        assert_eq!(body["choices"][0]["text"], WHOLE, "{body}");
+    }
+}
+
+/// Guards against wrong streams that pass for answers.
+#[tokio::test]
+async fn can_refuse_streams_that_contradict_themselves() {
+    for act in [Act::Repeat, Act::Foreign, Act::Overstate] {
+        let (engine, _) = engine(act).await;
+        let gateway = gateway(NO_RESUME, &[&engine]).await;
+        let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
+        assert_eq!(response.status(), 502, "{act:?}");
+        assert_eq!(verdict(&response), "may_have_run", "{act:?}");
+    }
+}
+
+/// Guards against a refusal that counts as a run, and against retries without end.
+#[tokio::test]
+async fn can_tell_that_a_refused_completion_did_not_run() {
+    let (busy, seen) = engine(Act::Refuse).await;
+    let gateway = gateway(OPTIONS, &[&busy]).await;
+    let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
+    assert_eq!((response.status().as_u16(), &*verdict(&response)), (503, "not_run"));
+    assert!(response.headers().contains_key("retry-after"));
+    let attempts = seen.lock().expect("lock").len();
+    assert!((1..=4).contains(&attempts), "{attempts}");
+}
+
+fn link(gateway: &Gateway) -> Client {
+    let hello = Hello {
+        protocol: 1,
+        name: "controller-1".to_owned(),
+        incarnation: 1,
+        zone: "perth-a".to_owned(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        sent_at_ms: 0,
+        nonce: [0; 16],
+    };
+    Client::new(gateway.handle.peers, &Key::new(KEY.to_vec()), &hello).expect("client")
+}
+
+/// Guards against samples without their tokens' versions, and orders that do not arrive.
+#[tokio::test]
+async fn can_serve_controllers() {
+    let (up, seen) = engine(Act::Whole).await;
+    let gateway = gateway(OPTIONS, &[&up]).await;
+    let link = link(&gateway);
+    let dispatch = Dispatch {
+        request_id: "sample-1".to_owned(),
+        service: "svc".to_owned(),
+        team: "agronomy".to_owned(),
+        trainer: "t".to_owned(),
+        prompt: "p".to_owned(),
+        max_tokens: 6,
+        priority: 3,
+        deadline_ms: 5_000,
+        min_version: None,
+        avoid: Vec::new(),
+    };
+    let mut replies = link.call(&dispatch.into()).await.expect("call");
+    let mut tokens = 0;
+    let finish = loop {
+        match replies.next().await.expect("reply") {
+            Some(Frame::Token(token)) => {
+                assert_eq!((token.index, token.weight_version), (tokens, 7));
+                tokens += 1;
+            }
+            Some(Frame::Finish(finish)) => break finish,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!((tokens, finish.tokens, &*finish.text), (6, 6, WHOLE));
+    assert_eq!((&*finish.worker, finish.labels.len()), ("w0", 1));
+    // Samples run behind customers.
+    assert!(seen.lock().expect("lock")[0].priority < 100);
+    let order = Order {
+        worker: "w0".to_owned(),
+        id: "o".to_owned(),
+        load_version: 9,
+        scope: "weights/svc".to_owned(),
+        epoch: 4,
+        life_ms: 5_000,
+    };
+    let Ok(Frame::Outcome(outcome)) = link.ask(&order.into()).await else { panic!("no outcome") };
+    assert_eq!((outcome.accepted, outcome.weight_version, outcome.epoch), (true, Some(9), 4));
+    let survey = Survey { service: "svc".to_owned() };
+    let Ok(Frame::Workers(workers)) = link.ask(&survey.into()).await else { panic!("no workers") };
+    assert_eq!(workers.workers.len(), 1);
+    assert!(workers.workers[0].live && !workers.workers[0].leaving);
+}
