--- /dev/null
+++ b/components/controller/src/peers/mod.rs
@@ -0,0 +1,87 @@
+//! Calls that gateways and other daemons send to a controller.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use filbertsail_errors::Verdict;
+use filbertsail_wire::{
+    Frame,
+    frame::{Done, Fault, Hello},
+    link::server::{Handler, Sender},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::trainer::Command;
+
+/// Tasks of trainers by name, as far as this controller runs them.
+#[derive(Clone, Debug, Default)]
+pub struct Trainers(Arc<Mutex<HashMap<String, mpsc::Sender<Command>>>>);
+
+impl Trainers {
+    /// Adds or replaces the task of a trainer.
+    pub fn insert(&self, trainer: &str, commands: mpsc::Sender<Command>) {
+        self.lock().insert(trainer.to_owned(), commands);
+    }
+
+    /// Removes the task of a trainer.
+    pub fn remove(&self, trainer: &str) {
+        self.lock().remove(trainer);
+    }
+
+    fn get(&self, trainer: &str) -> Option<mpsc::Sender<Command>> {
+        self.lock().get(trainer).cloned()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, mpsc::Sender<Command>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers a call about rounds; gives back any other call.
+    ///
+    /// # Errors
+    /// Returns the request if it does not concern rounds.
+    pub async fn answer(&self, request: Frame) -> Result<Frame, Frame> {
+        match request {
+            Frame::Fetch(fetch) => {
+                let Some(commands) = self.get(&fetch.trainer) else { return Ok(not_holder()) };
+                let (reply, answer) = oneshot::channel();
+                if commands.send(Command::Fetch { fetch, reply }).await.is_err() {
+                    return Ok(not_holder());
+                }
+                Ok(answer.await.unwrap_or_else(|_| not_holder()))
+            }
+            Frame::Notice(notice) => {
+                if let Some(commands) = self.get(&notice.trainer) {
+                    // The task's own poll makes up for a lost notice.
+                    let _ = commands.send(Command::Notice(notice.step)).await;
+                }
+                Ok(Done.into())
+            }
+            other => Err(other),
+        }
+    }
+}
+
+/// Answer of a controller that does not hold the lease.
+#[must_use]
+pub fn not_holder() -> Frame {
+    fault("not_holder", "this controller does not hold the trainer's lease")
+}
+
+/// Failure that happened before anything ran.
+#[must_use]
+pub fn fault(code: &str, message: &str) -> Frame {
+    let (code, message) = (code.to_owned(), message.to_owned());
+    Fault { code, message, verdict: Verdict::NotRun }.into()
+}
+
+impl Handler for Trainers {
+    async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
+        let reply = self.answer(request).await;
+        let reply = reply.unwrap_or_else(|_| fault("unexpected_call", "unexpected call"));
+        // Fails only if the caller is gone.
+        let _ = replies.send(reply).await;
+    }
+}
--- /dev/null
+++ b/components/controller/src/plan.rs
@@ -0,0 +1,58 @@
+//! What the inventory says about one trainer.
+
+use std::time::Duration;
+
+use filbertsail_config::inventory::{Class, Inventory};
+use filbertsail_rollout::scheduler::Claim;
+
+/// Rules for the rounds of one trainer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Trainer name.
+    pub trainer: String,
+    /// Team that pays for the work.
+    pub team: String,
+    /// Model service.
+    pub service: String,
+    /// Priority of samples.
+    pub priority: u32,
+    /// Time limit of one sample.
+    pub timeout: Duration,
+    /// Shares of all trainers of the service.
+    pub claims: Vec<Claim>,
+    /// Share of idle time in the deployment's weighting, 0 to 1.
+    pub idle_share: f64,
+}
+
+impl Plan {
+    /// Rules for `trainer`, if the inventory names it and its service.
+    #[must_use]
+    pub fn new(inventory: &Inventory, trainer: &str) -> Option<Self> {
+        let entry = inventory.trainers.iter().find(|entry| entry.name == trainer)?;
+        let service = inventory.service(&entry.service)?;
+        let rule = inventory.rules.iter().find(|rule| {
+            rule.service == service.name
+                && rule.class.is_none_or(|class| class == Class::Rollout)
+                && rule.priority.is_some()
+        });
+        let sharing = inventory.trainers.iter().filter(|other| other.service == entry.service);
+        let claims = sharing.map(|other| Claim { share: other.share, mine: other.name == trainer });
+        Some(Self {
+            trainer: trainer.to_owned(),
+            team: entry.team.clone(),
+            service: service.name.clone(),
+            priority: rule.and_then(|rule| rule.priority).unwrap_or(0),
+            timeout: Duration::from_millis(service.timeout_ms),
+            claims: claims.collect(),
+            idle_share: idle_share(inventory),
+        })
+    }
+}
+
+/// Share of idle time in the deployment's weighting, 0 to 1.
+#[must_use]
+pub fn idle_share(inventory: &Inventory) -> f64 {
+    let idle = inventory.deployment.idle_weight.max(0.0);
+    let total = idle + inventory.deployment.staleness_weight.max(0.0);
+    if total > 0.0 { idle / total } else { 0.5 }
+}
--- /dev/null
+++ b/components/controller/src/trainer/mod.rs
@@ -0,0 +1,117 @@
+//! Task of one trainer: works off its rounds and delivers its batches while the lease is held.
+
+mod attempt;
+mod deliver;
+mod load;
+mod ops;
+mod schedule;
+mod score;
+mod store;
+mod term;
+mod work;
+
+use filbertsail_clock::Source;
+use filbertsail_http::client::Client as Http;
+use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_rollout::{ledger::Echo, policy::Policy};
+use filbertsail_telemetry::event::Line;
+use filbertsail_wire::{
+    Frame,
+    frame::{Fetch, Workers},
+    link::auth::Key,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::{gateways::Gateways, lease::Holding, peers::not_holder, plan::Plan};
+use term::Term;
+
+/// Commands that wait for the task.
+pub const COMMAND_QUEUE: usize = 256;
+
+/// What the task works with.
+#[derive(Clone)]
+pub struct Ports<T, S, G, C> {
+    /// Table service.
+    pub table: T,
+    /// Object store.
+    pub store: S,
+    /// Gateways.
+    pub gateways: G,
+    /// Clock of the lease deadlines.
+    pub clock: C,
+    /// Cluster key, which authenticates cursors.
+    pub key: Key,
+    /// Client for scorers.
+    pub http: Http,
+    /// How rounds are worked off.
+    pub policy: Policy,
+}
+
+/// Message to the task.
+#[derive(Debug)]
+pub enum Command {
+    /// A trainer wants a batch.
+    Fetch {
+        /// The fetch.
+        fetch: Fetch,
+        /// Takes the answer.
+        reply: oneshot::Sender<Frame>,
+    },
+    /// The round of this step was posted or closed.
+    Notice(u64),
+}
+
+/// Result of background work.
+enum Event {
+    Attempt(attempt::Outcome),
+    Scored(score::Outcome),
+    Put(store::Outcome),
+    Table(ops::Outcome),
+    Loaded(load::Outcome),
+    Surveyed(Option<Workers>),
+}
+
+/// Runs the task until `stop`.
+pub async fn run<T: Table, S: Store, G: Gateways, C: Source>(
+    ports: Ports<T, S, G, C>,
+    plan: watch::Receiver<Plan>,
+    mut holding: watch::Receiver<Option<Holding>>,
+    mut commands: mpsc::Receiver<Command>,
+    stop: CancellationToken,
+) {
+    let mut carried: Option<Echo> = None;
+    loop {
+        let held = *holding.borrow_and_update();
+        if let Some(held) = held {
+            let trainer = plan.borrow().trainer.clone();
+            event("term_started", &trainer, held.epoch);
+            let term = Term::new(ports.clone(), plan.clone(), held, carried.take());
+            let echo = term.run(&mut holding, &mut commands, &stop).await;
+            event("term_ended", &trainer, held.epoch);
+            carried = Some(echo);
+            if stop.is_cancelled() {
+                return;
+            }
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            changed = holding.changed() => if changed.is_err() { return },
+            command = commands.recv() => match command {
+                None => return,
+                Some(command) => refuse(command),
+            },
+        }
+    }
+}
+
+fn refuse(command: Command) {
+    if let Command::Fetch { reply, .. } = command {
+        // Fails only if the caller is gone.
+        let _ = reply.send(not_holder());
+    }
+}
+
+fn event(name: &str, trainer: &str, epoch: u64) {
+    Line::new(name).with("trainer", trainer).with("epoch", epoch).info();
+}
--- /dev/null
+++ b/components/controller/src/trainer/ops.rs
@@ -0,0 +1,193 @@
+//! Calls to the table service; at most one is under way per trainer.
+
+use filbertsail_api::table::{Expect, Query, Row, Scan, Transaction};
+use filbertsail_platform::table::{Error, Table};
+use filbertsail_rollout::ledger::{Manifest, Taken};
+use filbertsail_rounds::{row, token};
+use serde_json::Value;
+
+/// Rows read per scan.
+const PAGE_ROWS: u32 = 256;
+
+/// Result of a call.
+pub enum Outcome {
+    /// Commit of a batch.
+    Commit(Taken, Commit),
+    /// Record of batches that a cursor states.
+    Record(Vec<Taken>, Result<bool, Error>),
+    /// Write of the stored groups of a step.
+    Progress(u64, Result<bool, Error>),
+    /// Epoch in the lease row.
+    Probe(Result<Option<u64>, Error>),
+    /// Rounds and manifests.
+    Refresh(Vec<u64>, Result<Rows, Error>),
+}
+
+/// Result of a commit.
+pub enum Commit {
+    /// The batch is recorded.
+    Done,
+    /// The step has this batch already.
+    Other(Manifest),
+    /// The round is not open any more.
+    Closed,
+    /// Another holder has the lease.
+    Lost,
+    /// Nothing was written.
+    Failed(Error),
+    /// It may have been written.
+    Unknown,
+}
+
+/// Rounds and manifests of a trainer.
+#[derive(Default)]
+pub struct Rows {
+    /// Rounds by step.
+    pub rounds: Vec<(u64, row::Round)>,
+    /// Manifests by step.
+    pub manifests: Vec<Taken>,
+}
+
+/// Commits the batch of a step that has none.
+pub async fn commit<T: Table>(table: T, trainer: &str, epoch: u64, taken: &Taken) -> Commit {
+    let (lease, manifest) = (row::lease_key(trainer), row::manifest_key(trainer, taken.step));
+    let round = row::round_key(trainer, taken.step);
+    let open = Expect::Field { name: "state".to_owned(), equals: Value::from("open") };
+    let transaction = Transaction {
+        checks: vec![
+            row::fenced(trainer, epoch),
+            row::absent(manifest.clone()),
+            filbertsail_api::table::Check { key: round, expect: open },
+        ],
+        token: token(),
+        writes: vec![
+            row::write(manifest.clone(), &taken.manifest),
+            row::remove(row::progress_key(trainer, taken.step)),
+        ],
+    };
+    match table.transact(transaction).await {
+        Ok(_) => Commit::Done,
+        Err(Error::Conflict(refusal)) => {
+            let find = |key: &str| refusal.conflicts.iter().find(|conflict| conflict.key == key);
+            if find(&lease).is_some() {
+                return Commit::Lost;
+            }
+            let existing = find(&manifest).and_then(|conflict| conflict.row.as_ref());
+            match existing.and_then(row::parse::<Manifest>) {
+                Some(existing) => Commit::Other(existing),
+                None => Commit::Closed,
+            }
+        }
+        Err(Error::Unknown(_)) => Commit::Unknown,
+        Err(error) => Commit::Failed(error),
+    }
+}
+
+/// Records batches that the trainer has taken. `Ok(false)` means that the lease is lost.
+pub async fn record<T: Table>(
+    table: T,
+    trainer: &str,
+    epoch: u64,
+    taken: &[Taken],
+) -> Result<bool, Error> {
+    let keys = taken.iter().map(|taken| row::manifest_key(trainer, taken.step)).collect();
+    let rows = table.read(Query { keys }).await?;
+    let mut checks = vec![row::fenced(trainer, epoch)];
+    let mut writes = Vec::new();
+    for Taken { step, manifest } in taken {
+        let key = row::manifest_key(trainer, *step);
+        let known = rows.iter().find(|row| row.key == key);
+        checks.push(known.map_or_else(|| row::absent(key.clone()), row::unchanged));
+        let same = known.and_then(row::parse::<Manifest>);
+        if same.is_none_or(|same| same.digest != manifest.digest) {
+            writes.push(row::write(key, manifest));
+        }
+    }
+    let transaction = Transaction { checks, token: token(), writes };
+    fenced(table.transact(transaction).await.map(drop), trainer)
+}
+
+/// Writes the list of stored groups. `Ok(false)` means that the lease is lost.
+pub async fn progress<T: Table>(
+    table: T,
+    trainer: &str,
+    epoch: u64,
+    step: u64,
+    progress: &row::Progress,
+) -> Result<bool, Error> {
+    let transaction = Transaction {
+        checks: vec![row::fenced(trainer, epoch), row::absent(row::manifest_key(trainer, step))],
+        token: token(),
+        writes: vec![row::write(row::progress_key(trainer, step), progress)],
+    };
+    fenced(table.transact(transaction).await.map(drop), trainer)
+}
+
+fn fenced(result: Result<(), Error>, trainer: &str) -> Result<bool, Error> {
+    match result {
+        Ok(()) => Ok(true),
+        Err(Error::Conflict(refusal)) => {
+            let lease = row::lease_key(trainer);
+            if refusal.conflicts.iter().any(|conflict| conflict.key == lease) {
+                return Ok(false);
+            }
+            Err(Error::Conflict(refusal))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads the epoch in the lease row.
+pub async fn probe<T: Table>(table: T, trainer: &str) -> Result<Option<u64>, Error> {
+    let rows = table.read(Query { keys: vec![row::lease_key(trainer)] }).await?;
+    Ok(rows.first().and_then(row::parse::<row::Lease>).map(|lease| lease.epoch))
+}
+
+/// Reads all rounds and manifests after step `floor`, and those of the steps named.
+pub async fn refresh<T: Table>(
+    table: T,
+    trainer: &str,
+    floor: Option<u64>,
+    named: &[u64],
+) -> Result<Rows, Error> {
+    let mut found = Rows::default();
+    let rounds = scan(&table, row::round_key(trainer, 0), trainer, floor, row::round_key).await?;
+    let manifests =
+        scan(&table, row::manifest_key(trainer, 0), trainer, floor, row::manifest_key).await?;
+    let keys = named
+        .iter()
+        .flat_map(|step| [row::round_key(trainer, *step), row::manifest_key(trainer, *step)]);
+    let keys: Vec<String> = keys.collect();
+    let single = if keys.is_empty() { Vec::new() } else { table.read(Query { keys }).await? };
+    for row in rounds.iter().chain(&manifests).chain(&single) {
+        let Some(step) = row::step_of(&row.key) else { continue };
+        if row.key.starts_with("round/") {
+            found.rounds.extend(row::parse(row).map(|round| (step, round)));
+        } else {
+            found.manifests.extend(row::parse(row).map(|manifest| Taken { step, manifest }));
+        }
+    }
+    Ok(found)
+}
+
+async fn scan<T: Table>(
+    table: &T,
+    first: String,
+    trainer: &str,
+    floor: Option<u64>,
+    key: impl Fn(&str, u64) -> String,
+) -> Result<Vec<Row>, Error> {
+    let prefix = first.trim_end_matches(|c: char| c.is_ascii_digit()).to_owned();
+    let mut after = floor.map(|floor| key(trainer, floor));
+    let mut all = Vec::new();
+    loop {
+        let scan = Scan { after, limit: PAGE_ROWS, prefix: prefix.clone() };
+        let rows = table.scan(scan).await?.rows;
+        let whole = rows.len() < PAGE_ROWS as usize;
+        after = rows.last().map(|row| row.key.clone());
+        all.extend(rows);
+        if whole {
+            return Ok(all);
+        }
+    }
+}
--- /dev/null
+++ b/components/controller/src/trainer/schedule.rs
@@ -0,0 +1,282 @@
+//! Starts, second starts and replacements of samples.
+
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
+
+use filbertsail_api::trainer::ScoreRequest;
+use filbertsail_clock::{Instant, Source};
+use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_rollout::{
+    round::{Attempt, Finish, Key},
+    scheduler::{self, Job, View},
+    straggler,
+};
+use filbertsail_telemetry::event::Line;
+use filbertsail_wire::{
+    Frame,
+    frame::{Dispatch, Survey},
+};
+
+use super::{Event, attempt, score, store, term::Term, work::Running};
+use crate::gateways::Gateways;
+
+/// Time between two surveys of the workers.
+const SURVEY_PERIOD: Duration = Duration::from_millis(500);
+const SURVEY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed attempt, doubled with each further failure in a row.
+const PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE_DOUBLINGS: u32 = 5;
+/// Weight of the newest sample in the usual sample time.
+const TIME_WEIGHT: f64 = 0.1;
+
+impl<T: Table, S: Store, G: Gateways, C: Source> Term<T, S, G, C> {
+    /// Asks a gateway for the workers, now and then.
+    pub(super) fn survey(&mut self) {
+        let now = self.ports.clock.now();
+        let due = self.surveyed_at.is_none_or(|at| now.since(at) >= SURVEY_PERIOD);
+        if self.surveying || !due {
+            return;
+        }
+        (self.surveying, self.surveyed_at) = (true, Some(now));
+        let gateways = self.ports.gateways.clone();
+        let service = self.plan.borrow().service.clone();
+        self.spawn(async move {
+            let reply = gateways.ask(Survey { service }.into(), SURVEY_TIMEOUT).await;
+            Event::Surveyed(match reply {
+                Ok(Frame::Workers(workers)) => Some(workers),
+                _ => None,
+            })
+        });
+    }
+
+    /// Newest version that a worker reports.
+    fn newest(&self) -> Option<u64> {
+        let usable = self.workers.workers.iter().filter(|worker| worker.live && !worker.leaving);
+        usable.filter_map(|worker| worker.weight_version).max()
+    }
+
+    /// Drops samples that will be too old at delivery while there is time to replace them.
+    pub(super) fn replace_ahead(&mut self) {
+        let (true, Some(newest)) = (self.ports.policy.replaces_ahead(), self.newest()) else {
+            return;
+        };
+        for (step, work) in &mut self.works {
+            let Some(version) = self.forecast.expect(*step) else { continue };
+            if self.ledger.is_settled(*step) || !work.replaceable(version, newest) {
+                continue;
+            }
+            let dropped = work.drop_stale(version);
+            if !dropped.is_empty() {
+                Line::new("samples_replaced")
+                    .with("trainer", &self.trainer)
+                    .with("step", step)
+                    .with("samples", dropped.len())
+                    .with("expected_version", version)
+                    .info();
+            }
+        }
+    }
+
+    /// Starts what the scheduler chooses, then second starts for stragglers.
+    pub(super) fn schedule(&mut self) {
+        let now = self.ports.clock.now();
+        // Work continues while the table is down; its results are worth keeping either way.
+        if !(self.is_held() || self.is_detached()) || now < self.hold_until {
+            return;
+        }
+        let jobs: Vec<Job> = self.jobs();
+        let view = self.view(&jobs);
+        for start in scheduler::plan(self.ports.policy, &jobs, &view, now) {
+            self.start(start.step, start.key, start.min_version, Vec::new());
+        }
+        if self.ports.policy.hedges() {
+            self.hedge(now, view.quota);
+        }
+    }
+
+    fn jobs(&self) -> Vec<Job> {
+        let unsettled = self.works.iter().filter(|(step, _)| !self.ledger.is_settled(**step));
+        let job = unsettled.map(|(step, work)| Job {
+            step: *step,
+            open: work.round.open().collect(),
+            running: work.round.running(),
+            missing: work.round.slots().filter(|(_, slot)| slot.sample.is_none()).count(),
+            due: work.round.spec().due,
+            awaited: self.pending.iter().any(|pending| pending.fetch.step == *step),
+            min_version: self.forecast.oldest_useful(*step, work.posted.staleness_bound),
+        });
+        job.collect()
+    }
+
+    fn view(&self, jobs: &[Job]) -> View {
+        let usable = self.workers.workers.iter().filter(|worker| worker.live && !worker.leaving);
+        let (capacity, busy) = usable.fold((0, 0), |(capacity, busy), worker| {
+            (capacity + worker.capacity, busy + worker.running + worker.queued)
+        });
+        let idle = capacity.saturating_sub(busy);
+        let running = jobs.iter().map(|job| job.running).sum();
+        let plan = self.plan.borrow();
+        View {
+            quota: scheduler::quota(capacity, idle, running, &plan.claims),
+            newest: self.newest(),
+            sample_time: self.sample_time,
+            idle_share: plan.idle_share,
+        }
+    }
+
+    fn hedge(&mut self, now: Instant, quota: usize) {
+        let running: usize = self.works.values().map(|work| work.round.running()).sum();
+        let mut free = quota.saturating_sub(running);
+        let steps: Vec<u64> = self.works.keys().copied().collect();
+        for step in steps {
+            let work = &self.works[&step];
+            let slow = straggler::find(&work.round, now);
+            let (max_tokens, bound) = (work.posted.max_tokens, work.posted.staleness_bound);
+            for key in slow {
+                if free == 0 || !self.budget.reserve(max_tokens) {
+                    return;
+                }
+                free -= 1;
+                let first = self.works[&step].round.slot(key).attempts[0].id;
+                let avoid = vec![self.request_id(step, key, first)];
+                self.start(step, key, self.forecast.oldest_useful(step, bound), avoid);
+            }
+        }
+    }
+
+    fn request_id(&self, step: u64, key: Key, attempt: u64) -> String {
+        format!("{}/{step}/{key}/{}.{attempt}", self.trainer, self.epoch)
+    }
+
+    /// Starts an attempt; `avoid` names the attempt that it is a second start of.
+    fn start(&mut self, step: u64, key: Key, min_version: Option<u64>, avoid: Vec<String>) {
+        self.attempts += 1;
+        let (attempt, hedge) = (self.attempts, !avoid.is_empty());
+        let plan = self.plan.borrow().clone();
+        let work = &self.works[&step];
+        let dispatch = Dispatch {
+            request_id: self.request_id(step, key, attempt),
+            service: plan.service,
+            team: plan.team,
+            trainer: self.trainer.clone(),
+            prompt: work.posted.prompts[key.group as usize].clone(),
+            max_tokens: work.posted.max_tokens,
+            priority: plan.priority,
+            deadline_ms: u64::try_from(plan.timeout.as_millis()).unwrap_or(u64::MAX),
+            min_version,
+            avoid,
+        };
+        Line::new("sample_started")
+            .with("request", &dispatch.request_id)
+            .with("min_version", min_version.unwrap_or(0))
+            .with("reason", if hedge { "straggler" } else { "open" })
+            .info();
+        let tokens = Arc::new(AtomicU32::new(0));
+        let (gateways, counter) = (self.ports.gateways.clone(), tokens.clone());
+        let abort = self.spawn(async move {
+            let result = attempt::run(gateways, dispatch, counter).await;
+            Event::Attempt(attempt::Outcome { step, key, attempt, result })
+        });
+        let started = self.ports.clock.now();
+        if let Some(work) = self.works.get_mut(&step) {
+            work.round.begin(key, Attempt { id: attempt, started, hedge, tokens: 0 });
+            work.running.insert(attempt, Running { abort, tokens });
+        }
+    }
+
+    /// Decides on a finished or failed attempt.
+    pub(super) fn attempt_ended(&mut self, outcome: attempt::Outcome) {
+        let attempt::Outcome { step, key, attempt, result } = outcome;
+        let Some(work) = self.works.get_mut(&step) else { return };
+        let Some(running) = work.running.remove(&attempt) else { return };
+        let pair = work.round.slot(key).attempts.len() > 1;
+        match result {
+            Ok((sample, worker)) => {
+                self.failures = 0;
+                self.won(step, key, attempt, sample, &worker);
+            }
+            Err(reason) => {
+                work.round.fail(key, attempt);
+                if pair {
+                    self.budget.settle(work.posted.max_tokens, running.tokens());
+                }
+                let doublings = self.failures.min(MAX_PAUSE_DOUBLINGS);
+                self.hold_until = self.ports.clock.now().after(PAUSE * 2_u32.pow(doublings));
+                self.failures += 1;
+                Line::new("sample_failed")
+                    .with("request", self.request_id(step, key, attempt))
+                    .with("reason", reason)
+                    .warn();
+            }
+        }
+        self.schedule();
+    }
+
+    fn won(
+        &mut self,
+        step: u64,
+        key: Key,
+        attempt: u64,
+        sample: filbertsail_rollout::round::Sample,
+        worker: &str,
+    ) {
+        let request = self.request_id(step, key, attempt);
+        let (tokens, text, took) = (sample.tokens, sample.text.clone(), sample.took);
+        let Some(work) = self.works.get_mut(&step) else { return };
+        let Finish::Won { losers } = work.round.finish(key, attempt, sample) else { return };
+        for loser in losers {
+            let Some(running) = work.running.remove(&loser) else { continue };
+            running.abort.abort();
+            self.budget.settle(work.posted.max_tokens, running.tokens());
+        }
+        self.budget.won += u64::from(tokens);
+        if let Some(took) = took {
+            self.sample_time = Some(self.sample_time.map_or(took, |usual| {
+                usual.mul_f64(1.0 - TIME_WEIGHT) + took.mul_f64(TIME_WEIGHT)
+            }));
+        }
+        Line::new("sample_finished")
+            .with("request", request)
+            .with("worker", worker)
+            .with("tokens", tokens)
+            .info();
+        self.score(step, key, text);
+    }
+
+    /// Sends a sample to its scorer, if the round names one.
+    pub(super) fn score(&mut self, step: u64, key: Key, text: String) {
+        let Some(work) = self.works.get_mut(&step) else { return };
+        let Some(scorer) = work.posted.scorer.clone() else { return };
+        if !work.scoring.insert((key, text.clone())) {
+            return;
+        }
+        let id = format!("{}/{step}/{key}", self.trainer);
+        let prompt = work.posted.prompts[key.group as usize].clone();
+        let request = ScoreRequest { id, prompt, text: text.clone() };
+        let (http, limit) = (self.ports.http.clone(), self.scorers.clone());
+        self.spawn(async move {
+            let score = score::run(http, limit, scorer, request).await;
+            Event::Scored(score::Outcome { step, key, text, score })
+        });
+    }
+
+    /// Sends complete bodies to the object store.
+    pub(super) fn store_bodies(&mut self) {
+        let mut bodies = Vec::new();
+        for (step, work) in &mut self.works {
+            let groups = work.complete_groups();
+            bodies.extend(groups.into_iter().map(|(object, body)| (*step, object, body)));
+            let listing = work.complete_listing(self.epoch);
+            bodies.extend(listing.map(|(object, body)| (*step, object, body)));
+        }
+        for (step, object, body) in bodies {
+            let port = self.ports.store.clone();
+            self.spawn(async move {
+                store::put(port, &object, body).await;
+                Event::Put(store::Outcome { step, object })
+            });
+        }
+    }
+}
--- /dev/null
+++ b/components/controller/src/trainer/term.rs
@@ -0,0 +1,333 @@
+//! One term of a lease: the rounds, the ledger and the work in the background.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use filbertsail_api::trainer::Group;
+use filbertsail_clock::{Instant, Source};
+use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_rollout::{
+    ledger::{Echo, Ledger, Table as Reach},
+    staleness::Forecast,
+    straggler::Budget,
+};
+use filbertsail_rounds::row;
+use filbertsail_wire::frame::Workers;
+use tokio::{
+    sync::{Semaphore, mpsc, watch},
+    task::JoinSet,
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{Command, Event, Ports, deliver::Pending, load, ops, refuse, work::Work};
+use crate::{gateways::Gateways, lease::Holding, plan::Plan};
+
+/// Time between two looks at everything that depends on time.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between two reads of the rounds.
+const REFRESH: Duration = Duration::from_secs(2);
+/// Time between two calls to a table that does not answer.
+const PROBE: Duration = Duration::from_millis(500);
+/// Requests to one scorer under way at a time.
+const SCORER_CALLS: usize = 32;
+
+/// State of one term.
+pub struct Term<T, S, G, C> {
+    pub(super) ports: Ports<T, S, G, C>,
+    pub(super) plan: watch::Receiver<Plan>,
+    pub(super) trainer: String,
+    pub(super) epoch: u64,
+    pub(super) holding: Option<Holding>,
+    pub(super) ledger: Ledger,
+    pub(super) works: BTreeMap<u64, Work>,
+    pub(super) batches: BTreeMap<String, Arc<Vec<Group>>>,
+    pub(super) pending: Vec<Pending>,
+    pub(super) forecast: Forecast,
+    pub(super) budget: Budget,
+    pub(super) workers: Workers,
+    pub(super) surveyed_at: Option<Instant>,
+    pub(super) surveying: bool,
+    pub(super) attempts: u64,
+    pub(super) failures: u32,
+    pub(super) hold_until: Instant,
+    pub(super) sample_time: Option<Duration>,
+    pub(super) scorers: Arc<Semaphore>,
+    pub(super) reach: Reach,
+    pub(super) busy: bool,
+    pub(super) lost: bool,
+    /// All rounds and manifests have been read once.
+    pub(super) loaded: bool,
+    pub(super) closed: BTreeSet<u64>,
+    pub(super) named: BTreeSet<u64>,
+    pub(super) loading: BTreeSet<u64>,
+    next_refresh: Instant,
+    next_probe: Instant,
+    pub(super) tasks: JoinSet<()>,
+    pub(super) sender: mpsc::UnboundedSender<Event>,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+impl<T: Table, S: Store, G: Gateways, C: Source> Term<T, S, G, C> {
+    /// Term that starts under `held`, with what an earlier term of this process left unrecorded.
+    pub fn new(
+        ports: Ports<T, S, G, C>,
+        plan: watch::Receiver<Plan>,
+        held: Holding,
+        carried: Option<Echo>,
+    ) -> Self {
+        let now = ports.clock.now();
+        let (sender, events) = mpsc::unbounded_channel();
+        let mut ledger = Ledger::new(held.epoch, []);
+        // Nobody else held the lease in between if the epoch rose by one.
+        if let Some(echo) = carried.filter(|echo| echo.epoch + 1 >= held.epoch) {
+            ledger.echo(&echo);
+        }
+        let trainer = plan.borrow().trainer.clone();
+        Self {
+            ports,
+            plan,
+            trainer,
+            epoch: held.epoch,
+            holding: Some(held),
+            ledger,
+            works: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            pending: Vec::new(),
+            forecast: Forecast::default(),
+            budget: Budget::default(),
+            workers: Workers::default(),
+            surveyed_at: None,
+            surveying: false,
+            attempts: 0,
+            failures: 0,
+            hold_until: now,
+            sample_time: None,
+            scorers: Arc::new(Semaphore::new(SCORER_CALLS)),
+            reach: Reach::Up,
+            busy: false,
+            lost: false,
+            loaded: false,
+            closed: BTreeSet::new(),
+            named: BTreeSet::new(),
+            loading: BTreeSet::new(),
+            next_refresh: now,
+            next_probe: now,
+            tasks: JoinSet::new(),
+            sender,
+            events,
+        }
+    }
+
+    /// Runs until the lease is lost or `stop`; returns what is not recorded.
+    pub async fn run(
+        mut self,
+        holding: &mut watch::Receiver<Option<Holding>>,
+        commands: &mut mpsc::Receiver<Command>,
+        stop: &CancellationToken,
+    ) -> Echo {
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        while !self.lost {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                changed = holding.changed() => {
+                    if changed.is_err() { break }
+                    self.holding = *holding.borrow_and_update();
+                    self.lost |= self.holding.is_some_and(|it| it.epoch != self.epoch);
+                }
+                command = commands.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => break,
+                },
+                Some(event) = self.events.recv() => self.event(event),
+                Some(_) = self.tasks.join_next() => {}
+                _ = tick.tick() => self.tick(),
+            }
+        }
+        Echo { epoch: self.epoch, taken: self.ledger.unrecorded() }
+    }
+
+    /// Whether this process may act as holder now.
+    pub(super) fn is_held(&self) -> bool {
+        let now = self.ports.clock.now();
+        self.holding.is_some_and(|holding| holding.allows(self.epoch, now))
+    }
+
+    /// Whether deliveries may go on by cursor: the table does not answer, so that nobody can have
+    /// been seen to take over.
+    pub(super) fn is_detached(&self) -> bool {
+        self.reach == Reach::Down
+    }
+
+    /// Spawns background work whose result comes back as an event.
+    pub(super) fn spawn<F>(&mut self, work: F) -> tokio::task::AbortHandle
+    where
+        F: Future<Output = Event> + Send + 'static,
+    {
+        let sender = self.sender.clone();
+        self.tasks.spawn(async move {
+            // Fails only after the end of the term.
+            let _ = sender.send(work.await);
+        })
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Notice(step) => {
+                self.named.insert(step);
+                self.next_refresh = self.ports.clock.now();
+            }
+            Command::Fetch { fetch, reply } => match Pending::new(&self.ports, fetch, reply) {
+                Ok(pending) => self.accept(pending),
+                Err(command) => refuse(command),
+            },
+        }
+    }
+
+    fn accept(&mut self, pending: Pending) {
+        self.forecast.observe(pending.fetch.step, pending.fetch.version);
+        if !self.works.contains_key(&pending.fetch.step) {
+            self.named.insert(pending.fetch.step);
+            self.next_refresh = self.ports.clock.now();
+        }
+        self.pending.push(pending);
+        self.deliver();
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Attempt(outcome) => self.attempt_ended(outcome),
+            Event::Scored(outcome) => {
+                if let Some(work) = self.works.get_mut(&outcome.step) {
+                    work.scoring.remove(&(outcome.key, outcome.text.clone()));
+                    work.round.score(outcome.key, &outcome.text, outcome.score);
+                }
+            }
+            Event::Put(outcome) => {
+                if let Some(work) = self.works.get_mut(&outcome.step) {
+                    work.stored(&outcome.object);
+                }
+            }
+            Event::Table(outcome) => {
+                self.busy = false;
+                self.table_answered(outcome);
+            }
+            Event::Loaded(outcome) => self.round_loaded(outcome),
+            Event::Surveyed(workers) => {
+                self.surveying = false;
+                if let Some(workers) = workers {
+                    self.workers = workers;
+                }
+            }
+        }
+        self.advance();
+    }
+
+    fn tick(&mut self) {
+        self.survey();
+        self.replace_ahead();
+        self.advance();
+        self.schedule();
+        self.keep_up();
+    }
+
+    /// Moves bodies and deliveries on.
+    fn advance(&mut self) {
+        self.store_bodies();
+        self.deliver();
+    }
+
+    /// Reads and writes of the table that are due, least urgent last.
+    fn keep_up(&mut self) {
+        let now = self.ports.clock.now();
+        if self.busy {
+            return;
+        }
+        if self.reach == Reach::Down || !self.is_held() {
+            if now >= self.next_probe {
+                self.next_probe = now.after(PROBE);
+                self.probe();
+            }
+        } else if now >= self.next_refresh {
+            self.next_refresh = now.after(REFRESH);
+            self.refresh();
+        } else if !self.ledger.unrecorded().is_empty() {
+            self.record(self.ledger.unrecorded());
+        } else {
+            self.note_progress(now);
+        }
+    }
+
+    fn round_loaded(&mut self, outcome: load::Outcome) {
+        self.loading.remove(&outcome.step);
+        if self.closed.contains(&outcome.step) || self.ledger.is_settled(outcome.step) {
+            return;
+        }
+        let Some(posted) = outcome.round else {
+            filbertsail_telemetry::event::Line::new("round_without_body")
+                .with("trainer", &self.trainer)
+                .with("step", outcome.step)
+                .error();
+            self.closed.insert(outcome.step);
+            return;
+        };
+        let mut work = Work::new(posted, self.ports.clock.now());
+        for (object, group) in outcome.groups {
+            work.restore(object, group);
+        }
+        self.works.insert(outcome.step, work);
+        self.advance();
+        self.schedule();
+    }
+
+    /// Takes over what the table says about rounds.
+    pub(super) fn rounds_read(&mut self, rows: ops::Rows) {
+        self.loaded = true;
+        let manifests: BTreeSet<u64> = rows.manifests.iter().map(|taken| taken.step).collect();
+        for taken in rows.manifests {
+            if !self.ledger.is_settled(taken.step) {
+                self.ledger.recorded(taken);
+            }
+        }
+        for (step, round) in rows.rounds {
+            self.named.remove(&step);
+            let echo = round.cursor.as_ref().and_then(|text| {
+                filbertsail_rounds::cursor::Cursor::open(&self.ports.key, &self.trainer, text)
+            });
+            if let Some(cursor) = echo.filter(|_| !manifests.contains(&step)) {
+                self.ledger.echo(&cursor.into());
+            }
+            if round.state != row::State::Open || manifests.contains(&step) {
+                self.close(step, round.state);
+            } else if !self.works.contains_key(&step) && !self.ledger.is_settled(step) {
+                self.load(step, round.object);
+            }
+        }
+    }
+
+    fn load(&mut self, step: u64, object: String) {
+        if !self.loading.insert(step) {
+            return;
+        }
+        let (table, store) = (self.ports.table.clone(), self.ports.store.clone());
+        let trainer = self.trainer.clone();
+        self.spawn(
+            async move { Event::Loaded(load::run(table, store, &trainer, step, &object).await) },
+        );
+    }
+
+    fn close(&mut self, step: u64, state: row::State) {
+        if state != row::State::Open {
+            self.closed.insert(step);
+        }
+        if let Some(work) = self.works.remove(&step) {
+            for running in work.running.values() {
+                running.abort.abort();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/controller/src/trainer/work.rs
@@ -0,0 +1,209 @@
+//! One round under way and its bodies.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use filbertsail_api::trainer::{self, Group, Label};
+use filbertsail_clock::Instant;
+use filbertsail_rollout::{
+    label::Range,
+    ledger::Manifest,
+    round::{Key, Round, Sample, Spec},
+    staleness,
+};
+use filbertsail_rounds::{
+    manifest::{self, Listing},
+    row,
+};
+use tokio::task::AbortHandle;
+
+/// Attempt under way.
+pub struct Running {
+    /// Cancels it.
+    pub abort: AbortHandle,
+    /// Tokens received.
+    pub tokens: Arc<AtomicU32>,
+}
+
+impl Running {
+    /// Tokens received so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens.load(Ordering::Relaxed)
+    }
+}
+
+/// Body on its way to the object store.
+struct Body {
+    object: String,
+    group: Group,
+    stored: bool,
+}
+
+/// Round under way.
+pub struct Work {
+    /// Posted content.
+    pub posted: trainer::Round,
+    /// Samples and attempts.
+    pub round: Round,
+    /// Attempts by number.
+    pub running: HashMap<u64, Running>,
+    /// Samples that the scorer has.
+    pub scoring: HashSet<(Key, String)>,
+    /// Time of the last change of the progress row.
+    pub noted_at: Instant,
+    /// Groups stored since then.
+    pub unnoted: bool,
+    groups: BTreeMap<u32, Body>,
+    listing: Option<(Manifest, bool)>,
+}
+
+impl Work {
+    /// Round as posted, due `deadline_ms` after `now`.
+    pub fn new(posted: trainer::Round, now: Instant) -> Self {
+        let spec = Spec {
+            step: posted.step,
+            groups: u32::try_from(posted.prompts.len()).unwrap_or(u32::MAX),
+            group_size: posted.group_size,
+            max_tokens: posted.max_tokens,
+            bound: posted.staleness_bound,
+            due: now.after(Duration::from_millis(posted.deadline_ms)),
+            scored: posted.scorer.is_some(),
+        };
+        Self {
+            posted,
+            round: Round::new(spec),
+            running: HashMap::new(),
+            scoring: HashSet::new(),
+            noted_at: now,
+            unnoted: false,
+            groups: BTreeMap::new(),
+            listing: None,
+        }
+    }
+
+    /// Takes over a group that an earlier holder stored.
+    pub fn restore(&mut self, object: String, group: Group) {
+        let spec = self.round.spec();
+        let whole = group.samples.len() == spec.group_size as usize;
+        if group.group >= spec.groups || !whole {
+            return;
+        }
+        for sample in &group.samples {
+            let key = Key { group: group.group, slot: sample.slot };
+            if sample.slot < self.posted.group_size {
+                self.round.restore(key, from_api(sample));
+            }
+        }
+        self.groups.insert(group.group, Body { object, group, stored: true });
+    }
+
+    /// Bodies of groups that have become complete.
+    pub fn complete_groups(&mut self) -> Vec<(String, Bytes)> {
+        let mut bodies = Vec::new();
+        for index in 0..self.round.spec().groups {
+            if self.groups.contains_key(&index) || !self.round.is_group_complete(index) {
+                continue;
+            }
+            let group = self.to_api(index);
+            let (object, body) =
+                manifest::group_object(&self.posted.trainer, self.posted.step, &group);
+            self.groups.insert(index, Body { object: object.clone(), group, stored: false });
+            bodies.push((object, body));
+        }
+        bodies
+    }
+
+    /// Body of the listing, once all group bodies are stored.
+    pub fn complete_listing(&mut self, epoch: u64) -> Option<(String, Bytes)> {
+        let stored = self.groups.values().filter(|body| body.stored).count();
+        if self.listing.is_some() || stored != self.round.spec().groups as usize {
+            return None;
+        }
+        let groups = self.groups.values().map(|body| body.object.clone()).collect();
+        let listing = Listing { groups };
+        let (trainer, step) = (&self.posted.trainer, self.posted.step);
+        let (object, body, digest) = manifest::listing_object(trainer, step, &listing);
+        let (oldest, bound) = (self.round.oldest()?, self.posted.staleness_bound);
+        let manifest = Manifest { epoch, digest, object: object.clone(), oldest, bound };
+        self.listing = Some((manifest, false));
+        Some((object, body))
+    }
+
+    /// Takes note that a body is stored.
+    pub fn stored(&mut self, object: &str) {
+        if let Some(body) = self.groups.values_mut().find(|body| body.object == object) {
+            body.stored = true;
+            self.unnoted = true;
+        }
+        if let Some((manifest, stored)) = &mut self.listing
+            && manifest.object == object
+        {
+            *stored = true;
+        }
+    }
+
+    /// Whole batch whose bodies are stored.
+    pub fn candidate(&self) -> Option<&Manifest> {
+        self.listing.as_ref().filter(|(_, stored)| *stored).map(|(manifest, _)| manifest)
+    }
+
+    /// Groups of the batch.
+    pub fn batch(&self) -> Vec<Group> {
+        self.groups.values().map(|body| body.group.clone()).collect()
+    }
+
+    /// Stored groups for the next holder.
+    pub fn progress(&self) -> row::Progress {
+        let stored = self.groups.iter().filter(|(_, body)| body.stored);
+        row::Progress {
+            groups: stored.map(|(group, body)| (*group, body.object.clone())).collect(),
+        }
+    }
+
+    /// Drops samples that are too old for a trainer at `version`.
+    pub fn drop_stale(&mut self, version: u64) -> Vec<Key> {
+        let stale = self.round.drop_stale(version);
+        for key in &stale {
+            self.groups.remove(&key.group);
+            self.listing = None;
+        }
+        stale
+    }
+
+    /// Whether replacing stale samples for `version` is of use with weights of version `newest`.
+    pub fn replaceable(&self, version: u64, newest: u64) -> bool {
+        staleness::of(version, newest) <= self.posted.staleness_bound
+    }
+
+    fn to_api(&self, group: u32) -> Group {
+        let slots = (0_u32..).zip(self.round.group(group));
+        let samples = slots.filter_map(|(slot, state)| {
+            let sample = state.sample.as_ref()?;
+            let (trainer, step) = (&self.posted.trainer, self.posted.step);
+            let id = format!("{trainer}/{step}/{group}/{slot}");
+            let label = |it: &Range| Label { from: it.from, to: it.to, version: it.version };
+            let labels = sample.labels.iter().map(label).collect();
+            let (text, tokens, score) = (sample.text.clone(), sample.tokens, sample.score);
+            Some(trainer::Sample { group, id, labels, score, slot, text, tokens })
+        });
+        Group { group, samples: samples.collect() }
+    }
+}
+
+fn from_api(sample: &trainer::Sample) -> Sample {
+    let range = |it: &Label| Range { version: it.version, from: it.from, to: it.to };
+    Sample {
+        labels: sample.labels.iter().map(range).collect(),
+        tokens: sample.tokens,
+        text: sample.text.clone(),
+        score: sample.score,
+        took: None,
+    }
+}
--- /dev/null
+++ b/components/controller/tests/support/engine.rs
@@ -0,0 +1,96 @@
+//! Peer port of a gateway with one model worker behind it.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use filbertsail_wire::{
+    Frame,
+    frame::{Dispatch, Finish, Hello, Label, Token, Worker, Workers},
+    link::server::{Handler, Sender},
+};
+use tokio::time::sleep;
+
+#[derive(Clone)]
+pub struct Engine {
+    /// Weights that produce the next token.
+    pub version: Arc<AtomicU64>,
+    /// Labels claim one version more than the tokens.
+    pub lies: Arc<AtomicBool>,
+    /// First attempts at the slots named, as `group/slot`, take this long.
+    pub slow: Arc<Mutex<HashMap<String, Duration>>>,
+    /// Requests received, by slot.
+    pub seen: Arc<Mutex<Vec<Dispatch>>>,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        let version = Arc::new(AtomicU64::new(1));
+        Self { version, lies: Arc::default(), slow: Arc::default(), seen: Arc::default() }
+    }
+}
+
+impl Engine {
+    /// Dispatches received so far.
+    pub fn count(&self) -> usize {
+        self.seen.lock().expect("lock").len()
+    }
+
+    async fn generate(&self, dispatch: Dispatch, replies: &mut Sender) {
+        let parts: Vec<&str> = dispatch.request_id.split('/').collect();
+        let slot = format!("{}/{}", parts[2], parts[3]);
+        let delay = self.slow.lock().expect("lock").remove(&slot);
+        self.seen.lock().expect("lock").push(dispatch.clone());
+        sleep(Duration::from_millis(5)).await;
+        let version = self.version.load(Ordering::SeqCst);
+        let mut text = String::new();
+        for index in 0..4 {
+            let part = format!("{}#{index} ", dispatch.request_id);
+            text.push_str(&part);
+            if replies.send(Token { index, text: part, weight_version: version }).await.is_err() {
+                return;
+            }
+            if let Some(delay) = delay.filter(|_| index == 0) {
+                sleep(delay).await;
+            }
+        }
+        let lie = u64::from(self.lies.load(Ordering::SeqCst));
+        let labels = vec![Label { version: version + lie, from: 0, to: 4 }];
+        // The caller may have cancelled.
+        let _ =
+            replies.send(Finish { worker: "kettle-1".to_owned(), tokens: 4, labels, text }).await;
+    }
+
+    fn workers(&self) -> Workers {
+        let worker = Worker {
+            name: "kettle-1".to_owned(),
+            zone: "lahti-c".to_owned(),
+            live: true,
+            leaving: false,
+            running: 0,
+            queued: 0,
+            capacity: 64,
+            weight_version: Some(self.version.load(Ordering::SeqCst)),
+            age_ms: 0,
+        };
+        Workers { workers: vec![worker] }
+    }
+}
+
+impl Handler for Engine {
+    async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
+        match request {
+            Frame::Dispatch(dispatch) => self.generate(dispatch, &mut replies).await,
+            Frame::Survey(_) => {
+                // The caller may be gone.
+                let _ = replies.send(self.workers()).await;
+            }
+            other => panic!("unexpected call: {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/components/controller/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! Platform, gateways and trainers in one process.
+
+#![allow(dead_code)]
+
+pub mod engine;
+pub mod store;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use filbertsail_api::{table::Transaction, trainer::Round};
+use filbertsail_clock::{Boot, Source};
+use filbertsail_controller::{
+    gateways::{Gateway, Links},
+    lease::Holding,
+    peers::Trainers,
+    plan::Plan,
+    trainer::{COMMAND_QUEUE, Ports, run},
+};
+use filbertsail_http::{
+    Body,
+    client::Client as Http,
+    server::{Handler as Serve, Limits, serve as serve_http},
+    token,
+};
+use filbertsail_platform::{
+    budget::{Budget, Rates},
+    fake,
+    table::{Table as _, resolve},
+};
+use filbertsail_rollout::{policy::Policy, scheduler::Claim};
+use filbertsail_rounds::{
+    client::{Client, State},
+    handler::Handler,
+    reach::{Directory, Peers},
+    row,
+};
+use filbertsail_wire::{
+    frame::Hello,
+    link::{auth::Key, server::serve},
+};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
+use tokio_util::sync::CancellationToken;
+
+pub use engine::Engine;
+pub use store::Objects;
+
+/// Name of the trainer in all tests.
+pub const TRAINER: &str = "lather";
+const TOKEN: &str = "0123456789abcdef";
+
+pub fn key() -> Key {
+    Key::new(vec![3; 32])
+}
+
+pub fn hello(name: &str) -> Hello {
+    Hello {
+        protocol: 1,
+        name: name.to_owned(),
+        incarnation: 1,
+        zone: "lahti-c".to_owned(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        sent_at_ms: 0,
+        nonce: [0; 16],
+    }
+}
+
+/// Names and peer ports of controllers.
+#[derive(Clone, Default)]
+pub struct Names(Arc<Mutex<Vec<(String, SocketAddr)>>>);
+
+impl Directory for Names {
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        let names = self.0.lock().expect("lock");
+        names.iter().find(|(known, _)| known == name).map(|(_, address)| *address)
+    }
+}
+
+/// Fleet without membership and lease agents; the test hands out the leases.
+#[derive(Clone)]
+pub struct Fleet {
+    pub table: fake::Table,
+    pub store: Objects,
+    pub engine: Engine,
+    pub names: Names,
+    pub engine_address: SocketAddr,
+    pub stop: CancellationToken,
+}
+
+/// Controller that runs the task of the trainer.
+pub struct Controller {
+    pub name: String,
+    pub holding: watch::Sender<Option<Holding>>,
+    pub stop: CancellationToken,
+}
+
+impl Fleet {
+    pub async fn start() -> Self {
+        let stop = CancellationToken::new();
+        let engine = Engine::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let engine_address = listener.local_addr().expect("address");
+        tokio::spawn(serve(listener, key(), engine.clone(), stop.clone()));
+        let (table, store, names) = Default::default();
+        Self { table, store, engine, names, engine_address, stop }
+    }
+
+    fn client(&self) -> resolve::Client<fake::Table> {
+        let rates = Rates { reads_per_s: 1e6, writes_per_s: 1e6 };
+        resolve::Client::new(self.table.clone(), Budget::new(rates))
+    }
+
+    /// Starts a controller without a lease.
+    pub async fn controller(&self, name: &str, policy: Policy) -> Controller {
+        let stop = self.stop.child_token();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let address = listener.local_addr().expect("address");
+        self.names.0.lock().expect("lock").push((name.to_owned(), address));
+        let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
+        let trainers = Trainers::default();
+        trainers.insert(TRAINER, commands);
+        tokio::spawn(serve(listener, key(), trainers, stop.clone()));
+        let gateway = Gateway { address: self.engine_address, zone: "lahti-c".to_owned() };
+        let (_, known) = watch::channel(Arc::from([gateway]));
+        let ports = Ports {
+            table: self.client(),
+            store: self.store.clone(),
+            gateways: Links::new(known, key(), hello(name)),
+            clock: Boot,
+            key: key(),
+            http: Http::default(),
+            policy,
+        };
+        let (holding, held) = watch::channel(None);
+        let (_, plan) = watch::channel(plan());
+        tokio::spawn(run(ports, plan, held, receiver, stop.clone()));
+        Controller { name: name.to_owned(), holding, stop }
+    }
+
+    /// Starts a gateway with the trainer API.
+    pub async fn gateway(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let address = listener.local_addr().expect("address");
+        let tokens = token::Table::parse(&format!("{TOKEN} trainer {TRAINER}")).expect("tokens");
+        let peers = Peers::new(self.client(), self.names.clone(), key(), hello("gateway"));
+        let handler =
+            Handler::new(self.client(), self.store.clone(), peers, Arc::new(tokens), key());
+        tokio::spawn(serve_http(listener, Limits::default(), Api(handler), self.stop.clone()));
+        address
+    }
+
+    /// Makes `controller` the holder with fencing number `epoch`.
+    pub async fn grant(&self, controller: &Controller, epoch: u64) {
+        let value = json!({"holder": controller.name, "epoch": epoch});
+        let writes = vec![row::write(row::lease_key(TRAINER), &value)];
+        let transaction = Transaction { checks: Vec::new(), token: format!("t{epoch}"), writes };
+        self.table.transact(transaction).await.expect("lease row");
+        let deadline = Boot.now().after(Duration::from_secs(600));
+        controller.holding.send_replace(Some(Holding { epoch, deadline }));
+    }
+}
+
+#[derive(Clone)]
+struct Api(
+    Handler<resolve::Client<fake::Table>, Objects, Peers<resolve::Client<fake::Table>, Names>>,
+);
+
+impl Serve for Api {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        self.0.handle(request).await
+    }
+}
+
+pub fn plan() -> Plan {
+    Plan {
+        trainer: TRAINER.to_owned(),
+        team: "vaahto".to_owned(),
+        service: "kettle-models".to_owned(),
+        priority: 0,
+        timeout: Duration::from_secs(10),
+        claims: vec![Claim { share: 1.0, mine: true }],
+        idle_share: 0.5,
+    }
+}
+
+/// Trainer's client that continues from `state`.
+pub fn trainer(state: State) -> Client {
+    Client::new(Http::default(), TRAINER, TOKEN, state)
+}
+
+pub fn round(step: u64) -> Round {
+    Round {
+        trainer: TRAINER.to_owned(),
+        step,
+        prompts: (0..4).map(|index| format!("prompt {index}")).collect(),
+        group_size: 4,
+        max_tokens: 8,
+        staleness_bound: 2,
+        deadline_ms: 1_000,
+        scorer: None,
+    }
+}
--- a/components/rollout/src/ledger/mod.rs
+++ b/components/rollout/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 //! epoch lower than the highest it has seen, so what its cursor states overrides a manifest that
 //! was committed and never taken.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -108,6 +108,7 @@
     recorded: BTreeMap<u64, Manifest>,
     taken: BTreeMap<u64, Manifest>,
     pinned: BTreeMap<u64, Manifest>,
+    uncertain: BTreeSet<u64>,
 }
 
 impl Ledger {
@@ -115,7 +116,8 @@
     #[must_use]
     pub fn new(epoch: u64, recorded: impl IntoIterator<Item = Taken>) -> Self {
         let recorded = recorded.into_iter().map(|taken| (taken.step, taken.manifest)).collect();
-        Self { epoch, recorded, taken: BTreeMap::new(), pinned: BTreeMap::new() }
+        let (taken, pinned) = (BTreeMap::new(), BTreeMap::new());
+        Self { epoch, recorded, taken, pinned, uncertain: BTreeSet::new() }
     }
 
     /// Whether the batch of `step` is settled, so that its samples cannot change any more.
@@ -195,8 +197,21 @@
         }
     }
 
-    /// Takes note that a commit was refused for good, so that another batch may be chosen.
-    pub fn refused(&mut self, step: u64) {
+    /// Takes note that the answer to a commit was lost: the step keeps this batch.
+    pub fn uncertain(&mut self, step: u64) {
+        self.uncertain.insert(step);
+    }
+
+    /// Takes note that a commit was not written. Another batch may be chosen, unless an earlier
+    /// commit of the same batch may have been written.
+    pub fn unwritten(&mut self, step: u64) {
+        if !self.uncertain.contains(&step) {
+            self.pinned.remove(&step);
+        }
+    }
+
+    /// Takes note that the round was closed before its batch was committed.
+    pub fn closed(&mut self, step: u64) {
         self.pinned.remove(&step);
     }
 }
--- a/components/rollout/src/round/slot.rs
+++ b/components/rollout/src/round/slot.rs
@@ -44,8 +44,8 @@
     pub text: String,
     /// Score, once known.
     pub score: Option<f64>,
-    /// Time from dispatch to the whole answer.
-    pub took: Duration,
+    /// Time from dispatch to the whole answer; unknown for restored samples.
+    pub took: Option<Duration>,
 }
 
 impl Sample {
--- a/components/rollout/src/straggler/mod.rs
+++ b/components/rollout/src/straggler/mod.rs
@@ -66,8 +66,7 @@
 }
 
 fn usual<'a>(slots: impl Iterator<Item = &'a crate::round::Slot>) -> Option<Duration> {
-    let mut times: Vec<Duration> =
-        slots.filter_map(|slot| Some(slot.sample.as_ref()?.took)).collect();
+    let mut times: Vec<Duration> = slots.filter_map(|slot| slot.sample.as_ref()?.took).collect();
     if times.len() < MIN_FINISHED {
         return None;
     }
--- a/components/rounds/src/row.rs
+++ b/components/rounds/src/row.rs
@@ -117,6 +117,12 @@
     Write { key, value: Some(value) }
 }
 
+/// Removal of the row under `key`.
+#[must_use]
+pub fn remove(key: String) -> Write {
+    Write { key, value: None }
+}
+
 /// Condition that a row is absent.
 #[must_use]
 pub fn absent(key: String) -> Check {
