--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -33,14 +33,15 @@
 };
 use filbertsail_rollout::{policy::Policy, scheduler::Claim};
 use filbertsail_rounds::{
-    client::{Client, State},
+    client::{Client as Trainer, State},
     handler::Handler,
     reach::{Directory, Peers},
     row,
 };
 use filbertsail_wire::{
-    frame::Hello,
-    link::{auth::Key, server::serve},
+    Frame,
+    frame::{Fetch, Hello},
+    link::{auth::Key, client::Client, server::serve},
 };
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -158,6 +159,15 @@
         address
     }
 
+    /// Fetches straight from the controller named, whoever holds the lease.
+    pub async fn ask(&self, name: &str, step: u64, version: u64) -> Frame {
+        let address = self.names.address(name).expect("known controller");
+        let link = Client::new(address, &key(), &hello("gateway")).expect("link");
+        let trainer = TRAINER.to_owned();
+        let fetch = Fetch { trainer, step, version, wait_ms: 5_000, cursor: None };
+        link.ask(&fetch.into()).await.expect("answer")
+    }
+
     /// Makes `controller` the holder with fencing number `epoch`.
     pub async fn grant(&self, controller: &Controller, epoch: u64) {
         let value = json!({"holder": controller.name, "epoch": epoch});
@@ -193,8 +203,8 @@
 }
 
 /// Trainer's client that continues from `state`.
-pub fn trainer(state: State) -> Client {
-    Client::new(Http::default(), TRAINER, TOKEN, state)
+pub fn trainer(state: State) -> Trainer {
+    Trainer::new(Http::default(), TRAINER, TOKEN, state)
 }
 
 pub fn round(step: u64) -> Round {
