--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod scheduler;
 pub mod staleness;
 pub mod straggler;
+pub mod wave;
