Controller: add daemon, leases per trainer and service, and weight rollouts

Each trainer and each model service of the configuration gets a task and a lease. A planned stop ends new starts, lets samples under way finish, stores them for the next holder and then releases the leases.

--- /dev/null
+++ b/components/controller/src/cli.rs
@@ -0,0 +1,17 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use filbertsail_rollout::policy::Policy;
+
+/// Controller of a deployment.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// settings file in TOML
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// how rounds are worked off: production or naive
+    #[argh(option, default = "Policy::Production")]
+    pub policy: Policy,
+}
--- /dev/null
+++ b/components/controller/src/daemon/mod.rs
@@ -0,0 +1,216 @@
+//! Start and planned stop of a controller.
+
+mod supervisor;
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use eyre::{WrapErr, ensure};
+use filbertsail_admin::{Health, Probe};
+use filbertsail_clock::Boot;
+use filbertsail_cluster::{agent, lease, member};
+use filbertsail_config::settings::Settings;
+use filbertsail_http::{client::Client as Http, server, token};
+use filbertsail_platform::{
+    budget::{Budget, Rates},
+    object, table, weight,
+};
+use filbertsail_rollout::policy::Policy;
+use filbertsail_telemetry::metrics::Registry;
+use filbertsail_wire::{
+    frame::Hello,
+    link::{self, auth::Key},
+};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    gateways::{Gateway, Links},
+    peers::{Peers, Trainers},
+    trainer, weights,
+};
+use supervisor::Supervisor;
+
+/// Least length of the cluster key in bytes.
+const MIN_KEY_BYTES: usize = 32;
+const PROTOCOL: u16 = 1;
+
+type Table = table::resolve::Client<table::http::Client>;
+
+/// Running controller.
+#[derive(Debug)]
+pub struct Handle {
+    /// Admin port.
+    pub admin: SocketAddr,
+    /// Peer port.
+    pub peers: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Handle {
+    /// Waits for the end of a planned stop.
+    ///
+    /// # Errors
+    /// Fails if a task panicked.
+    pub async fn join(self) -> eyre::Result<()> {
+        self.task.await.wrap_err("controller task")
+    }
+}
+
+#[derive(Clone)]
+struct Readiness(watch::Receiver<bool>);
+
+impl Health for Readiness {
+    fn unready(&self) -> Option<String> {
+        (!*self.0.borrow()).then(|| "no confirmed configuration, or stopping".to_owned())
+    }
+}
+
+/// Starts a controller with the production policy; ends after `stop` once its leases are released.
+///
+/// # Errors
+/// Fails if a key or tokens file cannot be read or a port cannot be bound.
+pub async fn start(settings: Settings, stop: CancellationToken) -> eyre::Result<Handle> {
+    start_with(settings, Policy::Production, stop).await
+}
+
+/// Starts a controller with any policy.
+///
+/// # Errors
+/// Fails if a key or tokens file cannot be read or a port cannot be bound.
+pub async fn start_with(
+    settings: Settings,
+    policy: Policy,
+    stop: CancellationToken,
+) -> eyre::Result<Handle> {
+    let key = read_key(&settings.security.cluster_key_file)?;
+    let tokens = token::Table::load(&settings.security.tokens_file)?;
+    let metrics = Registry::new(&settings.name)?;
+    let admin = bind(settings.listen.admin).await?;
+    let peers = bind(settings.listen.peers).await?;
+    let (admin_address, peer_address) = (admin.local_addr()?, peers.local_addr()?);
+    let identity = identity(&settings, peer_address, &key);
+    let hello = hello(&identity);
+    let budget = budget(&settings);
+    let client = table::http::Client::new(settings.platform.table);
+    let table: Table = table::resolve::Client::new(client, budget.clone());
+    let times = lease::Times::default();
+    let seeds = settings.peers.seeds.clone();
+    let fleet = agent::Settings { seeds, lease: times, budget: Some(budget) };
+    // The agent stops last: leases are released when nothing acts under them any more.
+    let agent_stop = CancellationToken::new();
+    let agent = agent::start(identity, fleet, table.clone(), agent_stop.clone());
+    let trainers = Trainers::default();
+    let (gateways, known) = watch::channel(Arc::from([]));
+    let follow = tokio::spawn(follow_gateways(agent.members(), gateways));
+    let links = Links::new(known, key.clone(), hello);
+    let supervisor = Supervisor {
+        agent: agent.clone(),
+        trainers: trainers.clone(),
+        rounds: trainer::Ports {
+            table,
+            store: object::http::Client::new(settings.platform.objects),
+            gateways: links.clone(),
+            clock: Boot,
+            key: key.clone(),
+            http: Http::default(),
+            policy,
+        },
+        weights: weights::Ports {
+            weights: weight::http::Client::new(settings.platform.weights),
+            gateways: links,
+            clock: Boot,
+            order_life: times.order_life,
+        },
+    };
+    let listeners = CancellationToken::new();
+    let handler = Peers { trainers, agent: agent.clone() };
+    let peers = tokio::spawn(link::server::serve(peers, key, handler, listeners.clone()));
+    let probe = Probe::new(Readiness(agent.ready()), Arc::new(tokens), metrics);
+    let limits = server::Limits::default();
+    let admin = tokio::spawn(server::serve(admin, limits, probe, listeners.clone()));
+    let task = tokio::spawn(async move {
+        supervisor.run(&stop).await;
+        agent_stop.cancel();
+        agent.join().await;
+        listeners.cancel();
+        follow.abort();
+        let _ = tokio::join!(peers, admin);
+    });
+    Ok(Handle { admin: admin_address, peers: peer_address, task })
+}
+
+/// Passes on the gateways that take new work.
+async fn follow_gateways(
+    mut members: watch::Receiver<Arc<[member::State]>>,
+    gateways: watch::Sender<Arc<[Gateway]>>,
+) {
+    loop {
+        let states = members.borrow_and_update().clone();
+        let usable = states
+            .iter()
+            .filter(|state| state.role == member::Role::Gateway && state.live && !state.draining);
+        let next: Arc<[Gateway]> = usable
+            .map(|state| Gateway { address: state.address, zone: state.zone.clone() })
+            .collect();
+        gateways.send_if_modified(|known| {
+            let changed = *known != next;
+            *known = next;
+            changed
+        });
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn identity(settings: &Settings, address: SocketAddr, key: &Key) -> agent::Identity {
+    agent::Identity {
+        name: settings.name.clone(),
+        role: member::Role::Controller,
+        zone: settings.zone.clone(),
+        address,
+        incarnation: unix_ms(),
+        key: key.clone(),
+    }
+}
+
+fn hello(identity: &agent::Identity) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        name: identity.name.clone(),
+        incarnation: identity.incarnation,
+        zone: identity.zone.clone(),
+        address: identity.address,
+        sent_at_ms: unix_ms(),
+        nonce: rand::random(),
+    }
+}
+
+fn budget(settings: &Settings) -> Budget {
+    Budget::new(Rates {
+        writes_per_s: settings.platform.table_writes_per_s,
+        reads_per_s: settings.platform.table_reads_per_s,
+    })
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("listen on {address}"))
+}
+
+fn read_key(path: &Path) -> eyre::Result<Key> {
+    let at = || format!("cluster key file {}", path.display());
+    let text = std::fs::read_to_string(path).wrap_err_with(at)?;
+    let bytes = hex::decode(text.trim()).wrap_err_with(at)?;
+    ensure!(bytes.len() >= MIN_KEY_BYTES, "{}: fewer than {MIN_KEY_BYTES} bytes", at());
+    Ok(Key::new(bytes))
+}
--- a/components/controller/src/gateways/mod.rs
+++ b/components/controller/src/gateways/mod.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use derive_more::{Display, Error, From};
+use filbertsail_errors::Verdict;
 use filbertsail_wire::{
     Frame,
     frame::{Fault, Hello},
@@ -45,6 +46,19 @@
     TimedOut,
 }
 
+impl Error {
+    /// Whether the request may have run.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::NoGateway => Verdict::NotRun,
+            Self::Link(error) => error.verdict(),
+            Self::Refused(fault) => fault.verdict,
+            Self::TimedOut => Verdict::MayHaveRun,
+        }
+    }
+}
+
 /// Calls gateways.
 pub trait Gateways: Clone + Send + Sync + 'static {
     /// Sends a request to a gateway and returns its replies.
--- a/components/controller/src/lib.rs
+++ b/components/controller/src/lib.rs
@@ -1,7 +1,8 @@
 //! Lease-based control work: rounds, sample delivery and weight rollouts.
 
+pub mod daemon;
 pub mod gateways;
-pub mod lease;
 pub mod peers;
 pub mod plan;
 pub mod trainer;
+pub mod weights;
--- a/components/controller/src/peers/mod.rs
+++ b/components/controller/src/peers/mod.rs
@@ -5,7 +5,9 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
+use filbertsail_cluster::agent;
 use filbertsail_errors::Verdict;
+use filbertsail_platform::table::Table;
 use filbertsail_wire::{
     Frame,
     frame::{Done, Fault, Hello},
@@ -77,10 +79,21 @@
     Fault { code, message, verdict: Verdict::NotRun }.into()
 }
 
-impl Handler for Trainers {
+/// Handler of the peer port.
+#[derive(Clone)]
+pub struct Peers<T> {
+    /// Tasks of trainers.
+    pub trainers: Trainers,
+    /// Part in the fleet.
+    pub agent: agent::Handle<T>,
+}
+
+impl<T: Table> Handler for Peers<T> {
     async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
-        let reply = self.answer(request).await;
-        let reply = reply.unwrap_or_else(|_| fault("unexpected_call", "unexpected call"));
+        let reply = match self.trainers.answer(request).await {
+            Ok(reply) => reply,
+            Err(other) => self.agent.answer(other).await,
+        };
         // Fails only if the caller is gone.
         let _ = replies.send(reply).await;
     }
--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -238,7 +238,7 @@
     pub(super) fn note_progress(&mut self, now: Instant) {
         let due = self.works.iter_mut().find(|(step, work)| {
             work.unnoted
-                && now.since(work.noted_at) >= NOTE_PERIOD
+                && (self.draining || now.since(work.noted_at) >= NOTE_PERIOD)
                 && !self.ledger.is_settled(**step)
         });
         let Some((step, work)) = due else { return };
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -11,6 +11,7 @@
 mod work;
 
 use filbertsail_clock::Source;
+use filbertsail_cluster::lease::Holding;
 use filbertsail_http::client::Client as Http;
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{ledger::Echo, policy::Policy};
@@ -23,7 +24,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{gateways::Gateways, lease::Holding, peers::not_holder, plan::Plan};
+use crate::{gateways::Gateways, peers::not_holder, plan::Plan};
 use term::Term;
 
 /// Commands that wait for the task.
@@ -81,15 +82,17 @@
     stop: CancellationToken,
 ) {
     let mut carried: Option<Echo> = None;
+    // A term that ended is over, even while the agent has not noticed the loss yet.
+    let mut ended = 0;
     loop {
-        let held = *holding.borrow_and_update();
+        let held = holding.borrow_and_update().filter(|held| held.epoch > ended);
         if let Some(held) = held {
             let trainer = plan.borrow().trainer.clone();
             event("term_started", &trainer, held.epoch);
             let term = Term::new(ports.clone(), plan.clone(), held, carried.take());
             let echo = term.run(&mut holding, &mut commands, &stop).await;
             event("term_ended", &trainer, held.epoch);
-            carried = Some(echo);
+            (carried, ended) = (Some(echo), held.epoch);
             if stop.is_cancelled() {
                 return;
             }
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -83,7 +83,8 @@
     pub(super) fn schedule(&mut self) {
         let now = self.ports.clock.now();
         // Work continues while the table is down; its results are worth keeping either way.
-        if !(self.is_held() || self.is_detached()) || now < self.hold_until {
+        let acts = self.is_held() || self.is_detached();
+        if !acts || self.draining || now < self.hold_until {
             return;
         }
         let jobs: Vec<Job> = self.jobs();
@@ -266,7 +267,7 @@
     pub(super) fn store_bodies(&mut self) {
         let mut bodies = Vec::new();
         for (step, work) in &mut self.works {
-            let groups = work.complete_groups();
+            let groups = work.complete_groups(self.draining);
             bodies.extend(groups.into_iter().map(|(object, body)| (*step, object, body)));
             let listing = work.complete_listing(self.epoch);
             bodies.extend(listing.map(|(object, body)| (*step, object, body)));
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -8,6 +8,7 @@
 
 use filbertsail_api::trainer::Group;
 use filbertsail_clock::{Instant, Source};
+use filbertsail_cluster::lease::Holding;
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{
     ledger::{Echo, Ledger, Table as Reach},
@@ -24,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Command, Event, Ports, deliver::Pending, load, ops, refuse, work::Work};
-use crate::{gateways::Gateways, lease::Holding, plan::Plan};
+use crate::{gateways::Gateways, plan::Plan};
 
 /// Time between two looks at everything that depends on time.
 const TICK: Duration = Duration::from_millis(20);
@@ -59,6 +60,8 @@
     pub(super) reach: Reach,
     pub(super) busy: bool,
     pub(super) lost: bool,
+    /// A planned stop is under way: nothing new starts.
+    pub(super) draining: bool,
     /// All rounds and manifests have been read once.
     pub(super) loaded: bool,
     pub(super) closed: BTreeSet<u64>,
@@ -110,6 +113,7 @@
             reach: Reach::Up,
             busy: false,
             lost: false,
+            draining: false,
             loaded: false,
             closed: BTreeSet::new(),
             named: BTreeSet::new(),
@@ -122,7 +126,8 @@
         }
     }
 
-    /// Runs until the lease is lost or `stop`; returns what is not recorded.
+    /// Runs until the lease is lost, or until what is under way at `stop` has ended; returns what
+    /// is not recorded.
     pub async fn run(
         mut self,
         holding: &mut watch::Receiver<Option<Holding>>,
@@ -131,9 +136,9 @@
     ) -> Echo {
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        while !self.lost {
+        while !(self.lost || self.draining && self.is_idle()) {
             tokio::select! {
-                () = stop.cancelled() => break,
+                () = stop.cancelled(), if !self.draining => self.drain(),
                 changed = holding.changed() => {
                     if changed.is_err() { break }
                     self.holding = *holding.borrow_and_update();
@@ -154,7 +159,7 @@
     /// Whether this process may act as holder now.
     pub(super) fn is_held(&self) -> bool {
         let now = self.ports.clock.now();
-        self.holding.is_some_and(|holding| holding.allows(self.epoch, now))
+        self.holding.is_some_and(|holding| holding.epoch == self.epoch && holding.is_valid(now))
     }
 
     /// Whether deliveries may go on by cursor: the table does not answer, so that nobody can have
@@ -175,6 +180,20 @@
         })
     }
 
+    /// Ends the start of new work and stores what the next holder can use.
+    fn drain(&mut self) {
+        self.draining = true;
+        self.store_bodies();
+    }
+
+    /// Whether nothing is under way that a stop would interrupt.
+    fn is_idle(&self) -> bool {
+        let mut unsettled = self.works.iter().filter(|(step, _)| !self.ledger.is_settled(**step));
+        let quiet = |work: &Work| work.round.running() == 0 && work.is_stored();
+        let noted = |work: &Work| !work.unnoted || self.reach == Reach::Down;
+        !self.busy && unsettled.all(|(_, work)| quiet(work) && noted(work))
+    }
+
     fn command(&mut self, command: Command) {
         match command {
             Command::Notice(step) => {
--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -92,7 +92,7 @@
     pub fn restore(&mut self, object: String, group: Group) {
         let spec = self.round.spec();
         let whole = group.samples.len() == spec.group_size as usize;
-        if group.group >= spec.groups || !whole {
+        if group.group >= spec.groups {
             return;
         }
         for sample in &group.samples {
@@ -101,17 +101,25 @@
                 self.round.restore(key, from_api(sample));
             }
         }
-        self.groups.insert(group.group, Body { object, group, stored: true });
+        if whole {
+            self.groups.insert(group.group, Body { object, group, stored: true });
+        }
     }
 
-    /// Bodies of groups that have become complete.
-    pub fn complete_groups(&mut self) -> Vec<(String, Bytes)> {
+    /// Bodies of groups that have become complete; with `partial`, those of other groups as well
+    /// once nothing of them is under way.
+    pub fn complete_groups(&mut self, partial: bool) -> Vec<(String, Bytes)> {
         let mut bodies = Vec::new();
         for index in 0..self.round.spec().groups {
-            if self.groups.contains_key(&index) || !self.round.is_group_complete(index) {
+            let complete = self.round.is_group_complete(index);
+            if self.groups.contains_key(&index) || !(complete || partial) {
                 continue;
             }
+            let running = self.round.group(index).iter().any(|slot| !slot.attempts.is_empty());
             let group = self.to_api(index);
+            if !complete && (running || group.samples.is_empty()) {
+                continue;
+            }
             let (object, body) =
                 manifest::group_object(&self.posted.trainer, self.posted.step, &group);
             self.groups.insert(index, Body { object: object.clone(), group, stored: false });
@@ -123,7 +131,8 @@
     /// Body of the listing, once all group bodies are stored.
     pub fn complete_listing(&mut self, epoch: u64) -> Option<(String, Bytes)> {
         let stored = self.groups.values().filter(|body| body.stored).count();
-        if self.listing.is_some() || stored != self.round.spec().groups as usize {
+        let complete = self.round.is_complete() && stored == self.round.spec().groups as usize;
+        if self.listing.is_some() || !complete {
             return None;
         }
         let groups = self.groups.values().map(|body| body.object.clone()).collect();
@@ -136,6 +145,12 @@
         Some((object, body))
     }
 
+    /// Whether all bodies have reached the object store.
+    pub fn is_stored(&self) -> bool {
+        let listing = self.listing.as_ref().is_none_or(|(_, stored)| *stored);
+        listing && self.groups.values().all(|body| body.stored)
+    }
+
     /// Takes note that a body is stored.
     pub fn stored(&mut self, object: &str) {
         if let Some(body) = self.groups.values_mut().find(|body| body.object == object) {
@@ -184,8 +199,9 @@
 
     fn to_api(&self, group: u32) -> Group {
         let slots = (0_u32..).zip(self.round.group(group));
+        let scored = self.round.spec().scored;
         let samples = slots.filter_map(|(slot, state)| {
-            let sample = state.sample.as_ref()?;
+            let sample = state.sample.as_ref().filter(|_| state.is_ready(scored))?;
             let (trainer, step) = (&self.posted.trainer, self.posted.step);
             let id = format!("{trainer}/{step}/{group}/{slot}");
             let label = |it: &Range| Label { from: it.from, to: it.to, version: it.version };
--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -13,9 +13,9 @@
 
 use filbertsail_api::{table::Transaction, trainer::Round};
 use filbertsail_clock::{Boot, Source};
+use filbertsail_cluster::lease::Holding;
 use filbertsail_controller::{
     gateways::{Gateway, Links},
-    lease::Holding,
     peers::Trainers,
     plan::Plan,
     trainer::{COMMAND_QUEUE, Ports, run},
@@ -41,7 +41,11 @@
 use filbertsail_wire::{
     Frame,
     frame::{Fetch, Hello},
-    link::{auth::Key, client::Client, server::serve},
+    link::{
+        auth::Key,
+        client::Client,
+        server::{Handler as Answer, Sender, serve},
+    },
 };
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -129,7 +133,7 @@
         let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
         let trainers = Trainers::default();
         trainers.insert(TRAINER, commands);
-        tokio::spawn(serve(listener, key(), trainers, stop.clone()));
+        tokio::spawn(serve(listener, key(), Calls(trainers), stop.clone()));
         let gateway = Gateway { address: self.engine_address, zone: "lahti-c".to_owned() };
         let (_, known) = watch::channel(Arc::from([gateway]));
         let ports = Ports {
@@ -175,7 +179,19 @@
         let transaction = Transaction { checks: Vec::new(), token: format!("t{epoch}"), writes };
         self.table.transact(transaction).await.expect("lease row");
         let deadline = Boot.now().after(Duration::from_secs(600));
-        controller.holding.send_replace(Some(Holding { epoch, deadline }));
+        controller.holding.send_replace(Some(Holding { epoch, deadline, orders_from: Boot.now() }));
+    }
+}
+
+#[derive(Clone)]
+struct Calls(Trainers);
+
+impl Answer for Calls {
+    async fn handle(&self, _caller: Hello, request: Frame, mut replies: Sender) {
+        if let Ok(reply) = self.0.answer(request).await {
+            // The caller may be gone.
+            let _ = replies.send(reply).await;
+        }
     }
 }
 
