--- a/components/wire/src/link/client.rs
+++ b/components/wire/src/link/client.rs
@@ -11,7 +11,8 @@
 use tokio::{net::TcpStream, sync::Mutex, time};
 
 use super::{
-    CALL_HEADER, CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth, auth::Key,
+    CALL_HEADER, CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth,
+    auth::Key, meter::Metered,
 };
 use crate::{codec, frame::Frame, frame::Hello};
 
@@ -113,7 +114,7 @@
     let (sender, connection) = client::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .handshake(stream)
+        .handshake(Metered(stream))
         .await?;
     tokio::spawn(async move {
         // The callers see the error on their own streams.
--- a/components/wire/src/link/mod.rs
+++ b/components/wire/src/link/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod auth;
 pub mod client;
+pub mod meter;
 pub mod server;
 
 use derive_more::{Display, Error, From};
--- a/components/wire/src/link/server.rs
+++ b/components/wire/src/link/server.rs
@@ -19,6 +19,7 @@
 use super::{
     CALL_HEADER, CONNECTION_WINDOW_BYTES, Error, HELLO_HEADER, STREAM_WINDOW_BYTES, auth,
     auth::{Admission, Key, Refusal},
+    meter::Metered,
 };
 use crate::{codec, frame::Frame, frame::Hello};
 
@@ -119,13 +120,13 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_CONCURRENT_CALLS)
-        .handshake(stream);
+        .handshake(Metered(stream));
     let Ok(connection) = handshake.await else { return };
     accept_calls(connection, port, stop).await;
 }
 
 async fn accept_calls<H: Handler>(
-    mut connection: server::Connection<TcpStream, Bytes>,
+    mut connection: server::Connection<Metered, Bytes>,
     port: Port<H>,
     stop: CancellationToken,
 ) {
