--- a/components/config/src/check/inventory.rs
+++ b/components/config/src/check/inventory.rs
@@ -10,6 +10,8 @@
     section::{Found, Section},
 };
 
+const FLAGS: [&str; 5] =
+    ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams", "http2"];
 const KINDS: &[&str] = &["model", "application"];
 const UNCONFIRMED: &[&str] = &["stop", "serve"];
 /// Range of the whole numbers that the types hold in 32 bits.
@@ -148,7 +150,7 @@
         let name = section.required(report, "name", "expected a name", kind::name);
         let expected = "expected model or application";
         let kind = section.required(report, "kind", expected, kind::one_of(KINDS));
-        for key in ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams"] {
+        for key in FLAGS {
             section.optional(report, key, kind::boolean);
         }
         service_limits(report, &mut section);
@@ -162,11 +164,13 @@
 }
 
 fn service_limits(report: &mut Report<'_>, section: &mut Section<'_>) {
-    let paths = section.optional(report, "idempotent_paths", kind::list(kind::text));
-    for path in paths.into_iter().flat_map(|paths| paths.value) {
-        if !path.value.starts_with('/') {
-            let remedy = "expected a path that starts with \"/\"";
-            report.add(&path.key, &path.span, "is not a path", remedy);
+    for key in ["idempotent_paths", "unrepeatable_paths"] {
+        let paths = section.optional(report, key, kind::list(kind::text));
+        for path in paths.into_iter().flat_map(|paths| paths.value) {
+            if !path.value.starts_with('/') {
+                let remedy = "expected a path that starts with \"/\"";
+                report.add(&path.key, &path.span, "is not a path", remedy);
+            }
         }
     }
     section.optional(report, "max_concurrency", kind::whole(1..=SMALL));
--- a/components/config/tests/check.rs
+++ b/components/config/tests/check.rs
@@ -53,3 +53,20 @@
     let faults = check::settings("controller", controller, Some(Role::Gateway)).expect_err("port");
     assert_eq!((faults.len(), faults[0].key.as_str()), (1, "listen.callers"));
 }
+
+/// Guards against a field that the types gained and the check refuses as unknown.
+#[test]
+fn can_accept_every_field_of_the_types() {
+    let inventory = include_str!("../../../examples/vaahto.toml");
+    let inventory = check::inventory("vaahto", inventory).expect("example");
+    let text = toml::to_string(&inventory).expect("TOML");
+    assert_eq!(check::inventory("all fields", &text), Ok(inventory));
+
+    let settings = include_str!("../../../examples/gateway.toml");
+    let mut settings = check::settings("gateway", settings, None).expect("example");
+    settings.security.tls_cert_file = Some("cert.pem".into());
+    settings.security.tls_key_file = Some("key.pem".into());
+    settings.log.file = Some("gateway.log".into());
+    let text = toml::to_string(&settings).expect("TOML");
+    assert_eq!(check::settings("all fields", &text, Some(Role::Gateway)), Ok(settings));
+}
