Add request metrics, a ready gauge, and loading of checked settings

Metered counts requests, their time and those in flight at a port, with bounded labels. check::load_settings reports every fault of a settings file at start, and tls::Acceptor::from_pair takes the pair as the settings name it.

--- a/components/admin/src/handler/probe.rs
+++ b/components/admin/src/handler/probe.rs
@@ -7,7 +7,7 @@
     Body, server,
     token::{Role, Table},
 };
-use filbertsail_telemetry::metrics::{self, Registry};
+use filbertsail_telemetry::metrics::{self, Gauge, Registry};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
@@ -19,13 +19,15 @@
     health: H,
     tokens: Arc<Table>,
     metrics: Registry,
+    ready: Gauge<f64>,
 }
 
 impl<H: Health> Probe<H> {
     /// Handler for the daemon with this health, tokens and metrics.
     #[must_use]
     pub fn new(health: H, tokens: Arc<Table>, metrics: Registry) -> Self {
-        Self { health, tokens, metrics }
+        let ready = metrics.gauge("ready", "1 if the daemon admits work, else 0");
+        Self { health, tokens, metrics, ready }
     }
 
     /// Answer to `/healthz`, `/readyz` or `/metrics`; `None` for any other path.
@@ -60,6 +62,7 @@
         if let Err(denied) = self.tokens.require(headers, &[Role::Operator, Role::Reader]) {
             return answer::denied(denied);
         }
+        self.ready.record(f64::from(u8::from(self.health.unready().is_none())), &[]);
         match self.metrics.render() {
             Ok(text) => typed(StatusCode::OK, metrics::CONTENT_TYPE, text),
             Err(error) => answer::fault(
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod answer;
 pub mod fleet;
 pub mod handler;
+pub mod meter;
 
 pub use fleet::{Fleet, Health, Refused};
 pub use handler::{Handler, probe::Probe};
+pub use meter::Metered;
--- a/components/admin/tests/tokens.rs
+++ b/components/admin/tests/tokens.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use filbertsail_admin::{Fleet, Handler, Health, Refused};
+use filbertsail_admin::{Fleet, Handler, Health, Metered, Refused};
 use filbertsail_api::admin::{Answer, Applied, Apply, Drain, Drained, Head, Question, Status};
 use filbertsail_http::{
     Body,
@@ -73,7 +73,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     let address = listener.local_addr().expect("address");
     let tokens = Arc::new(Table::parse(TOKENS).expect("tokens"));
-    let handler = Handler::new(fleet, tokens, Registry::new("gateway-1").expect("registry"));
+    let registry = Registry::new("gateway-1").expect("registry");
+    let handler = Metered::new(Handler::new(fleet, tokens, registry.clone()), "admin", &registry);
     tokio::spawn(serve(listener, Limits::default(), handler, CancellationToken::new()));
     address
 }
@@ -141,3 +142,21 @@
         assert_eq!(trainer.0, StatusCode::FORBIDDEN);
     }
 }
+
+/// Guards against metrics that miss requests, keep them in flight, or take a caller's word as label.
+#[tokio::test]
+async fn can_count_requests() {
+    let address = start(Counting::default()).await;
+    call(address, ("GET", "/healthz", ""), None).await;
+    call(address, ("BREW", "/admin/v1/drain", ""), None).await;
+    let (_, text) = call(address, ("GET", "/metrics", ""), Some("reader-token-000001")).await;
+    for line in [
+        "filbertsail_ready 0",
+        "filbertsail_requests_total{method=\"GET\",port=\"admin\",status=\"200\"} 1",
+        "filbertsail_requests_total{method=\"other\",port=\"admin\",status=\"401\"} 1",
+        "filbertsail_requests_in_flight{port=\"admin\"} 1",
+        "filbertsail_request_duration_seconds_count{port=\"admin\"} 2",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in\n{text}");
+    }
+}
--- a/components/config/src/check/mod.rs
+++ b/components/config/src/check/mod.rs
@@ -13,7 +13,9 @@
 mod section;
 mod settings;
 
-use derive_more::Display;
+use std::{fs, io, path::Path};
+
+use derive_more::{Display, Error};
 use report::Report;
 use section::Section;
 use serde::Serialize;
@@ -90,6 +92,38 @@
     }
 }
 
+/// Why a settings file gives no settings.
+#[derive(Debug, Display, Error)]
+pub enum LoadError {
+    /// The file cannot be read.
+    #[display("cannot read {file}: {source}")]
+    Read {
+        /// File.
+        file: String,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The file has faults.
+    #[display("{}", lines(_0))]
+    Faults(#[error(not(source))] Vec<Fault>),
+}
+
+fn lines(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
+/// Reads and checks the settings of a daemon.
+///
+/// # Errors
+/// Fails if the file cannot be read, or with every fault.
+pub fn load_settings(path: &Path, role: Role) -> Result<Settings, LoadError> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => settings(&file, &text, Some(role)).map_err(LoadError::Faults),
+        Err(source) => Err(LoadError::Read { file, source }),
+    }
+}
+
 fn run<T>(
     file: &str,
     text: &str,
--- a/components/config/tests/check.rs
+++ b/components/config/tests/check.rs
@@ -52,6 +52,12 @@
     assert_eq!(faults[0].key, "listen.callers");
     let faults = check::settings("controller", controller, Some(Role::Gateway)).expect_err("port");
     assert_eq!((faults.len(), faults[0].key.as_str()), (1, "listen.callers"));
+    let example = folder("../../examples/controller.toml");
+    assert!(check::load_settings(&example, Role::Controller).is_ok());
+    let error = check::load_settings(&example, Role::Gateway).expect_err("port");
+    assert!(error.to_string().contains("controller.toml:6: listen.callers"), "{error}");
+    let error = check::load_settings(&folder("none.toml"), Role::Gateway).expect_err("no file");
+    assert!(error.to_string().starts_with("cannot read "), "{error}");
 }
 
 /// Guards against a field that the types gained and the check refuses as unknown.
--- a/components/http/src/tls/mod.rs
+++ b/components/http/src/tls/mod.rs
@@ -46,6 +46,18 @@
         Ok(Self { acceptor: TlsAcceptor::from(Arc::new(config)) })
     }
 
+    /// Acceptor with the pair of a daemon's settings; `None` if they name none.
+    ///
+    /// # Errors
+    /// Fails like [`Acceptor::load`], and if only one half of the pair is named.
+    pub fn from_pair(cert: Option<&Path>, key: Option<&Path>) -> Result<Option<Self>, Error> {
+        match (cert, key) {
+            (None, None) => Ok(None),
+            (Some(cert), Some(key)) => Self::load(cert, key).map(Some),
+            (Some(half), None) | (None, Some(half)) => Err(fault(half, &"half of a TLS pair")),
+        }
+    }
+
     pub(crate) async fn accept(&self, stream: TcpStream) -> io::Result<TlsStream<TcpStream>> {
         self.acceptor.accept(stream).await
     }
--- a/components/http/tests/tls.rs
+++ b/components/http/tests/tls.rs
@@ -61,4 +61,6 @@
     assert_eq!(mixed.file, other_key.display().to_string());
     let absent = Acceptor::load(&folder.path().join("none.pem"), &key).expect_err("no file");
     assert!(absent.file.ends_with("none.pem"), "{absent}");
+    assert!(Acceptor::from_pair(Some(&cert), None).is_err(), "plain port instead of TLS");
+    assert!(Acceptor::from_pair(None, None).expect("no pair").is_none());
 }
--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -8,8 +8,11 @@
 
 use derive_more::Debug;
 use eyre::{Context, Result};
-pub use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Meter, MeterProvider};
+pub use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, UpDownCounter},
+};
 use opentelemetry_sdk::{Resource, metrics::SdkMeterProvider};
 use prometheus::{Encoder, TextEncoder};
 
@@ -67,6 +70,12 @@
         self.inner.meter.f64_gauge(name).with_description(help).build()
     }
 
+    /// Gauge `filbertsail_<name>` that is changed by differences, such as requests in flight.
+    #[must_use]
+    pub fn level(&self, name: &'static str, help: &'static str) -> UpDownCounter<i64> {
+        self.inner.meter.i64_up_down_counter(name).with_description(help).build()
+    }
+
     /// Histogram of times, `filbertsail_<name>_seconds`.
     #[must_use]
     pub fn seconds(&self, name: &'static str, help: &'static str) -> Histogram<f64> {
