Daemons: check settings, serve TLS, count requests

Both daemons refuse a settings file with every fault at once, serve TLS where the settings name a pair, and count the requests of their HTTP ports.

--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -10,11 +10,11 @@
 };
 
 use eyre::{WrapErr, ensure};
-use filbertsail_admin::{Health, Probe};
+use filbertsail_admin::{Health, Metered, Probe};
 use filbertsail_clock::Boot;
 use filbertsail_cluster::{agent, lease, member};
 use filbertsail_config::settings::Settings;
-use filbertsail_http::{client::Client as Http, server, token};
+use filbertsail_http::{client::Client as Http, server, tls, token};
 use filbertsail_platform::{
     budget::{Budget, Rates},
     object, table, weight,
@@ -90,6 +90,11 @@
     let key = read_key(&settings.security.cluster_key_file)?;
     let tokens = token::Table::load(&settings.security.tokens_file)?;
     let metrics = Registry::new(&settings.name)?;
+    let security = &settings.security;
+    let acceptor = tls::Acceptor::from_pair(
+        security.tls_cert_file.as_deref(),
+        security.tls_key_file.as_deref(),
+    )?;
     let admin = bind(settings.listen.admin).await?;
     let peers = bind(settings.listen.peers).await?;
     let (admin_address, peer_address) = (admin.local_addr()?, peers.local_addr()?);
@@ -130,9 +135,10 @@
     let listeners = CancellationToken::new();
     let handler = Peers { trainers, agent: agent.clone() };
     let peers = tokio::spawn(link::server::serve(peers, key, handler, listeners.clone()));
-    let probe = Probe::new(Readiness(agent.ready()), Arc::new(tokens), metrics);
+    let probe = Probe::new(Readiness(agent.ready()), Arc::new(tokens), metrics.clone());
+    let probe = Metered::new(probe, "admin", &metrics);
     let limits = server::Limits::default();
-    let admin = tokio::spawn(server::serve(admin, limits, probe, listeners.clone()));
+    let admin = tokio::spawn(server::serve_with(admin, acceptor, limits, probe, listeners.clone()));
     let task = tokio::spawn(async move {
         supervisor.run(&stop).await;
         agent_stop.cancel();
--- a/components/controller/src/main.rs
+++ b/components/controller/src/main.rs
@@ -2,8 +2,7 @@
 
 mod cli;
 
-use eyre::WrapErr;
-use filbertsail_config::settings::Settings;
+use filbertsail_config::check::{self, Role};
 use filbertsail_controller::daemon;
 use filbertsail_telemetry::logs;
 use tokio::signal::unix::{SignalKind, signal};
@@ -12,9 +11,7 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let args: cli::Args = argh::from_env();
-    let text = std::fs::read_to_string(&args.settings);
-    let text = text.wrap_err_with(|| format!("settings file {}", args.settings.display()))?;
-    let settings = Settings::parse(&text).wrap_err("settings file")?;
+    let settings = check::load_settings(&args.settings, Role::Controller)?;
     logs::start(&settings.log.level, settings.log.file.as_deref())?;
     let stop = CancellationToken::new();
     let mut terminate = signal(SignalKind::terminate())?;
--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -13,7 +13,7 @@
 use filbertsail_clock::Boot;
 use filbertsail_cluster::{agent, subset};
 use filbertsail_config as config;
-use filbertsail_http::{server, token};
+use filbertsail_http::{server, tls, token};
 use filbertsail_platform::{budget, object, table, vm};
 use filbertsail_rounds::reach;
 use filbertsail_routing::policy::Policy;
@@ -47,6 +47,12 @@
 ) -> eyre::Result<Parts> {
     let key = read_key(&settings.security.cluster_key_file)?;
     let tokens = Arc::new(token::Table::load(&settings.security.tokens_file)?);
+    let security = &settings.security;
+    let acceptor = tls::Acceptor::from_pair(
+        security.tls_cert_file.as_deref(),
+        security.tls_key_file.as_deref(),
+    )?;
+    let metrics = Registry::new(&settings.name)?;
     let callers_address =
         settings.listen.callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
     let callers_port = bind(callers_address).await?;
@@ -104,7 +110,9 @@
     let limits = server::Limits::default();
     let (callers, admin) = (callers_port.local_addr()?, admin_port.local_addr()?);
     let mut servers = JoinSet::new();
-    servers.spawn(server::serve(callers_port, limits, handler, listeners.clone()));
+    let handler = admin::Metered::new(handler, "callers", &metrics);
+    let stop = listeners.clone();
+    servers.spawn(server::serve_with(callers_port, acceptor.clone(), limits, handler, stop));
     let handler = Peers { context: context.clone(), gate: gate.clone(), agent: agent.clone() };
     servers.spawn(link::server::serve(peers_port, key, handler, listeners.clone()));
     let fleet = Fleet {
@@ -116,9 +124,11 @@
         gate: gate.clone(),
         commands: Arc::default(),
     };
-    let handler = admin::Handler::new(fleet, tokens, Registry::new(&settings.name)?);
+    let handler = admin::Handler::new(fleet, tokens, metrics.clone());
+    let handler = admin::Metered::new(handler, "admin", &metrics);
     let admin_stop = CancellationToken::new();
-    let admin_server = tokio::spawn(server::serve(admin_port, limits, handler, admin_stop.clone()));
+    let admin_server =
+        tokio::spawn(server::serve_with(admin_port, acceptor, limits, handler, admin_stop.clone()));
     let mut background = JoinSet::new();
     background.spawn(follow(agent.config(), router.clone(), gate.clone()));
     background.spawn(monitor::workers(router.clone()));
--- a/components/gateway/src/main.rs
+++ b/components/gateway/src/main.rs
@@ -2,10 +2,10 @@
 
 mod cli;
 
-use std::fs;
-
-use eyre::WrapErr;
-use filbertsail_config::settings::Settings;
+use filbertsail_config::{
+    check::{self, Role},
+    settings::Settings,
+};
 use filbertsail_gateway::daemon;
 use filbertsail_telemetry::logs;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,9 +13,7 @@
 
 fn main() -> eyre::Result<()> {
     let cli: cli::Cli = argh::from_env();
-    let at = || format!("settings file {}", cli.settings.display());
-    let text = fs::read_to_string(&cli.settings).wrap_err_with(at)?;
-    let settings = Settings::parse(&text).wrap_err_with(at)?;
+    let settings = check::load_settings(&cli.settings, Role::Gateway)?;
     logs::start(&settings.log.level, settings.log.file.as_deref())?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(serve(settings))
