--- a/components/bench/src/balance/mod.rs
+++ b/components/bench/src/balance/mod.rs
@@ -9,12 +9,9 @@
     time::Duration,
 };
 
-use filbertsail_http::{
-    Body,
-    client::{Client, Error},
-};
+use filbertsail_http::{Body, client::Client};
 use http::{Request, StatusCode};
-use tokio::{net::TcpStream, time::sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 /// Time between health checks.
@@ -102,12 +99,7 @@
         let uri = format!("http://{}/readyz", gateway.admin);
         let Ok(request) = Request::get(uri).body(Body::empty()) else { return };
         let answer = self.0.client.send(request, CHECK_TIMEOUT).await;
-        let is_ready = match answer {
-            Ok(answer) => answer.status() == StatusCode::OK,
-            Err(Error::Connect(_)) => false,
-            // A gateway without an administration port yet counts as ready once it accepts callers.
-            Err(Error::Broken(_)) => TcpStream::connect(gateway.callers).await.is_ok(),
-        };
+        let is_ready = answer.is_ok_and(|answer| answer.status() == StatusCode::OK);
         self.set_ready(&gateway.name, is_ready);
     }
 }
--- a/components/bench/src/cmd/demo.rs
+++ b/components/bench/src/cmd/demo.rs
@@ -56,7 +56,7 @@
         seed,
         duration: DURATION,
         gateways: 3,
-        controllers: 0,
+        controllers: 3,
         publish: PUBLISH,
         broken: None,
     })
--- a/components/bench/src/operator/mod.rs
+++ b/components/bench/src/operator/mod.rs
@@ -45,7 +45,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-    ) -> eyre::Result<(StatusCode, Option<T>)> {
+    ) -> eyre::Result<(StatusCode, Result<T, String>)> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", gateway.admin))
@@ -53,7 +53,8 @@
             .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
             .body(Body::full(body))?;
         let response = self.client.send(request, TIMEOUT).await?;
-        Ok((response.status(), serde_json::from_slice(response.body()).ok()))
+        let text = || String::from_utf8_lossy(response.body()).into_owned();
+        Ok((response.status(), serde_json::from_slice(response.body()).map_err(|_| text())))
     }
 
     /// Version in force at a gateway.
@@ -63,7 +64,7 @@
     pub async fn head(&self, gateway: &Gateway) -> eyre::Result<Head> {
         let (status, head) =
             self.call(gateway, Method::GET, "/admin/v1/config", Vec::new()).await?;
-        head.ok_or_else(|| eyre::eyre!("{}: no head, status {status}", gateway.name))
+        head.map_err(|text| eyre::eyre!("{}: no head, status {status}: {text}", gateway.name))
     }
 
     /// Applies an inventory through a gateway on top of `expect`; the accepted version, or `None`
@@ -89,11 +90,14 @@
             self.call::<Applied>(gateway, Method::PUT, "/admin/v1/config", body).await?;
         match (status, applied) {
             (StatusCode::CONFLICT, _) => Ok(None),
-            (status, Some(applied)) if status.is_success() => {
+            (status, Ok(applied)) if status.is_success() => {
                 self.note(&applied, inventory);
                 Ok(Some(applied.version))
             }
-            (status, _) => Err(eyre::eyre!("{} refused to apply: {status}", gateway.name)),
+            (status, answer) => {
+                let text = answer.err().unwrap_or_default();
+                Err(eyre::eyre!("{} refused to apply: {status} {text}", gateway.name))
+            }
         }
     }
 
@@ -129,7 +133,7 @@
         let at = Boot.now();
         let status =
             self.call::<Status>(gateway, Method::GET, "/admin/v1/status", Vec::new()).await;
-        let Ok((_, Some(status))) = status else { return };
+        let Ok((_, Ok(status))) = status else { return };
         if !status.ready {
             return;
         }
--- a/components/bench/src/trainer/mod.rs
+++ b/components/bench/src/trainer/mod.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use filbertsail_api::trainer::{Batch as Answer, Round as Post};
-use filbertsail_clock::{Boot, Source};
-use filbertsail_http::{Body, client::Client};
+use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_http::client::Client as Http;
+use filbertsail_rounds::client::{Client, Fetched, State};
 use filbertsail_standin::weight;
-use http::{Method, Request, StatusCode};
 use tokio::{sync::watch, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -18,8 +17,6 @@
     measure::SAMPLE_MARK,
 };
 
-/// Time limit of one call.
-const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that one fetch waits for a whole batch.
 const WAIT: Duration = Duration::from_secs(2);
 /// Pause after a call that failed.
@@ -79,7 +76,8 @@
     }
 
     async fn steps(&self, stop: &CancellationToken) {
-        let client = Client::default();
+        let Options { name, token, .. } = &self.options;
+        let mut client = Client::new(Http::default(), name, token, State::default());
         let mut posted = 0;
         let mut step = 0;
         loop {
@@ -91,7 +89,7 @@
                 return;
             }
             let wanted = Boot.now();
-            self.fetch(&client, step, wanted).await;
+            self.fetch(&mut client, step, wanted).await;
             let waited = Boot.now().since(wanted);
             sleep(self.options.train).await;
             // The time after the end of the run, without new rounds, is no measure of idleness.
@@ -104,25 +102,6 @@
         }
     }
 
-    async fn call(
-        &self,
-        client: &Client,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Option<(StatusCode, Bytes)> {
-        let gateway = self.balancer.pick()?;
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", gateway.callers))
-            .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.options.token))
-            .body(Body::full(body))
-            .ok()?;
-        let response = client.send(request, WAIT + TIMEOUT).await.ok()?;
-        Some((response.status(), response.into_body()))
-    }
-
     async fn post(&self, client: &Client, step: u64) {
         let Options { name, groups, group_size, max_tokens, bound, .. } = &self.options;
         let head = prompt_head(name, step);
@@ -138,12 +117,13 @@
             deadline_ms: 60_000,
             scorer: self.options.scorer.map(|scorer| scorer.to_string()),
         };
-        let body = serde_json::to_vec(&round).unwrap_or_default();
         let at = Boot.now();
         loop {
-            let answer = self.call(client, Method::POST, "/v1/rounds", body.clone()).await;
-            if answer.is_some_and(|(status, _)| status.is_success()) {
-                break;
+            if let Some(gateway) = self.balancer.pick() {
+                match client.post(gateway.callers, &round).await {
+                    Ok(_) => break,
+                    Err(error) => log::info!("post of {name}/{step} at {}: {error}", gateway.name),
+                }
             }
             sleep(RETRY_PAUSE).await;
         }
@@ -158,23 +138,27 @@
         self.journal.write().rounds.push(round);
     }
 
-    async fn fetch(&self, client: &Client, step: u64, wanted: filbertsail_clock::Instant) {
-        let name = &self.options.name;
+    async fn fetch(&self, client: &mut Client, step: u64, wanted: Instant) {
         loop {
             let version = *self.version.borrow();
-            let wait = WAIT.as_millis();
-            let path = format!("/v1/rounds/{name}/{step}/batch?version={version}&wait_ms={wait}");
-            if let Some((StatusCode::OK, body)) =
-                self.call(client, Method::GET, &path, Vec::new()).await
-                && let Ok(answer) = serde_json::from_slice::<Answer>(&body)
-            {
-                self.consume(answer, step, self.true_version(version), wanted);
-                let path = format!("/v1/rounds/{name}/{step}/ack");
-                // A lost acknowledgement costs the service only memory.
-                let _ = self.call(client, Method::POST, &path, Vec::new()).await;
-                return;
+            let Some(gateway) = self.balancer.pick() else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            match client.fetch(gateway.callers, step, version, WAIT).await {
+                Ok(Fetched::Batch(batch)) => {
+                    self.consume(*batch, step, self.true_version(version), wanted);
+                    // A lost acknowledgement costs the service only memory.
+                    let _ = client.acknowledge(gateway.callers, step).await;
+                    return;
+                }
+                Ok(Fetched::Progress(_)) => {}
+                Err(error) => {
+                    let name = &self.options.name;
+                    log::info!("fetch of {name}/{step} at {}: {error}", gateway.name);
+                    sleep(RETRY_PAUSE).await;
+                }
             }
-            sleep(RETRY_PAUSE).await;
         }
     }
 
--- a/components/bench/src/world/change.rs
+++ b/components/bench/src/world/change.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use eyre::eyre;
 use filbertsail_http::client::Client;
+use tokio::time::sleep;
 
 use super::{World, daemon::Role};
 use crate::operator::Operator;
@@ -36,6 +38,29 @@
         }
     }
 
+    /// Applies the inventory to the fleet, which has no configuration yet.
+    ///
+    /// # Errors
+    /// Fails if no gateway accepts it in time.
+    pub async fn apply_first(&self) -> eyre::Result<()> {
+        /// Attempts, one per pause.
+        const ATTEMPTS: u32 = 100;
+        const PAUSE: Duration = Duration::from_millis(100);
+        let operator = self.operator();
+        let mut last = eyre!("no gateway");
+        for _ in 0..ATTEMPTS {
+            for (gateway, _) in self.balancer.gateways() {
+                let inventory = &self.set.inventory;
+                match operator.apply(&gateway, inventory, None, "operator").await {
+                    Ok(_) => return Ok(()),
+                    Err(error) => last = error,
+                }
+            }
+            sleep(PAUSE).await;
+        }
+        Err(last.wrap_err("first configuration"))
+    }
+
     /// Two operators apply different versions on top of the same head through different gateways;
     /// one leaves out the last worker.
     pub async fn race(&self) {
--- a/components/bench/src/world/daemon.rs
+++ b/components/bench/src/world/daemon.rs
@@ -1,17 +1,15 @@
 //! Daemon in a thread and runtime of its own, so that it can be killed and frozen like a process.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{net::SocketAddr, pin::Pin, thread, time::Duration};
 
 use derive_more::Display;
 use eyre::{WrapErr, eyre};
-use filbertsail_config::{inventory::Inventory, settings::Settings};
-use filbertsail_gateway::daemon;
+use filbertsail_config::settings::Settings;
+use filbertsail_controller::daemon as controller;
+use filbertsail_gateway::daemon as gateway;
+use filbertsail_rollout::policy::Policy as Plan;
 use filbertsail_routing::policy::{LeastReported, Production, Random, RoundRobin};
-use tokio::{
-    runtime,
-    sync::{oneshot, watch},
-    time::timeout,
-};
+use tokio::{runtime, sync::oneshot, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::policy::Policy;
@@ -35,8 +33,6 @@
     pub settings: Settings,
     /// Policy.
     pub policy: Policy,
-    /// Inventory.
-    pub inventory: Inventory,
 }
 
 /// Running daemon.
@@ -117,33 +113,25 @@
     }
 }
 
-type Join = std::pin::Pin<Box<dyn Future<Output = eyre::Result<()>>>>;
+type Join = Pin<Box<dyn Future<Output = eyre::Result<()>>>>;
 
 async fn launch(shape: Shape, stop: CancellationToken) -> eyre::Result<(Ports, Join)> {
-    let Shape { role, settings, policy, inventory } = shape;
+    let Shape { role, settings, policy } = shape;
     if role == Role::Controller {
-        return Err(eyre!("no controller to start"));
+        let plan = match policy {
+            Policy::Naive => Plan::Naive,
+            _ => Plan::Production,
+        };
+        let handle = controller::start_with(settings, plan, stop).await?;
+        return Ok(((None, handle.admin, handle.peers), Box::pin(handle.join())));
     }
-    let (sender, inventories) = watch::channel(Some(Arc::new(inventory)));
     let handle = match policy {
-        Policy::Production | Policy::Naive => {
-            daemon::start_with(settings, inventories, Production, stop).await
-        }
-        Policy::Random => daemon::start_with(settings, inventories, Random, stop).await,
-        Policy::RoundRobin => {
-            daemon::start_with(settings, inventories, RoundRobin::default(), stop).await
-        }
-        Policy::LeastReported => {
-            daemon::start_with(settings, inventories, LeastReported, stop).await
-        }
+        Policy::Production | Policy::Naive => gateway::start_with(settings, Production, stop).await,
+        Policy::Random => gateway::start_with(settings, Random, stop).await,
+        Policy::RoundRobin => gateway::start_with(settings, RoundRobin::default(), stop).await,
+        Policy::LeastReported => gateway::start_with(settings, LeastReported, stop).await,
     }?;
-    let ports = (Some(handle.callers), handle.admin, handle.peers);
-    let join = async move {
-        let result = handle.join().await;
-        drop(sender);
-        result
-    };
-    Ok((ports, Box::pin(join)))
+    Ok(((Some(handle.callers), handle.admin, handle.peers), Box::pin(handle.join())))
 }
 
 impl Daemon {
--- a/components/bench/src/world/mod.rs
+++ b/components/bench/src/world/mod.rs
@@ -92,6 +92,7 @@
         for index in 0..world.options.controllers {
             world.start_daemon(Role::Controller, index).await?;
         }
+        world.apply_first().await?;
         Ok(world)
     }
 
@@ -130,12 +131,7 @@
     pub async fn start_daemon(&self, role: Role, index: usize) -> eyre::Result<()> {
         let settings = self.settings(role, index);
         let name = settings.name.clone();
-        let shape = Shape {
-            role,
-            settings,
-            policy: self.options.policy,
-            inventory: self.set.inventory.clone(),
-        };
+        let shape = Shape { role, settings, policy: self.options.policy };
         let daemon = daemon::start(shape).await.wrap_err_with(|| format!("start of {name}"))?;
         if role == Role::Gateway {
             let callers = daemon.callers.ok_or_else(|| eyre!("{name} has no callers' port"))?;
