--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 use filbertsail_cluster::config::Snapshot;
 use filbertsail_config as config;
 use filbertsail_routing::policy::{Policy, Production};
+use filbertsail_telemetry::event::Line;
 use tokio::{
     sync::watch,
     task::{JoinHandle, JoinSet},
@@ -62,6 +63,12 @@
 ) -> eyre::Result<Handle> {
     let parts = start::parts(&settings, policy).await?;
     let (callers, admin, peers) = (parts.callers, parts.admin, parts.peers);
+    Line::new("listening")
+        .with("gateway", &settings.name)
+        .with("callers", callers)
+        .with("admin", admin)
+        .with("peers", peers)
+        .info();
     Ok(Handle { callers, admin, peers, task: tokio::spawn(parts.run(stop)) })
 }
 
@@ -85,6 +92,7 @@
     /// Serves until `stop`, then ends without interrupting a request.
     async fn run(mut self, stop: CancellationToken) {
         stop.cancelled().await;
+        Line::new("draining").info();
         self.gate.stop();
         self.agent.set_draining(true);
         time::sleep(DRAIN_GRACE).await;
@@ -98,6 +106,7 @@
         self.admin_stop.cancel();
         // Fails only if the server panicked.
         let _ = self.admin_server.await;
+        Line::new("stopped").info();
     }
 }
 
