--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -111,13 +111,13 @@
 /// Texts of a streamed answer, and its last line.
 fn texts(body: &[u8]) -> (String, String) {
     let body = String::from_utf8(body.to_vec()).expect("text");
-    let data = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut data = body.lines().filter_map(|line| line.strip_prefix("data: "));
     let text = data
         .clone()
         .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
         .filter_map(|it| it["choices"][0]["text"].as_str().map(str::to_owned))
         .collect();
-    (text, data.last().unwrap_or_default().to_owned())
+    (text, data.next_back().unwrap_or_default().to_owned())
 }
 
 const WHOLE: &str = "t0 t1 t2 t3 t4 t5 ";
--- /dev/null
+++ b/components/routing/tests/policies.rs
@@ -0,0 +1,150 @@
+//! Properties of the production policy against the baselines, in a small model of servers.
+
+use std::time::Duration;
+
+use clock::Instant;
+use config::inventory::{Class, Inventory};
+use filbertsail_clock as clock;
+use filbertsail_config as config;
+use filbertsail_routing::{
+    policy::{LeastReported, Policy, Production, RoundRobin},
+    prefix::Change,
+    state::{Fleet, Outcome, Report, Request, inventory::Viewpoint},
+};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+const WORKERS: usize = 8;
+const SEED: u64 = 11;
+
+fn fleet() -> Fleet {
+    let mut text = "[deployment]\nname = \"d\"\nstaleness_weight = 1.0\nidle_weight = 1.0\n\
+        [[zone]]\nname = \"a\"\nregion = \"r\"\n\
+        [[service]]\nname = \"s\"\nkind = \"model\"\nmax_concurrency = 64\n"
+        .to_owned();
+    for index in 0..WORKERS {
+        text.push_str(&format!(
+            "[[worker]]\nname = \"w{index}\"\nservice = \"s\"\nzone = \"a\"\n\
+             address = \"127.0.0.1:{}\"\n",
+            1_000 + index
+        ));
+    }
+    let mut fleet = Fleet::default();
+    let view = Viewpoint { gateway: "g", zone: "a", subset: 64 };
+    fleet.take_over(&Inventory::parse(&text).expect("inventory"), view);
+    fleet
+}
+
+fn request<'a>(fleet: &Fleet, prefixes: &'a [String]) -> Request<'a> {
+    let service = fleet.service_key("s").expect("service");
+    Request { service, class: Class::Customer, min_version: None, prefixes, avoid: &[] }
+}
+
+/// Guards against traffic that flows to a server because it fails quickly.
+#[test]
+fn can_keep_away_from_a_server_that_fails_quickly() {
+    let mut fleet = fleet();
+    let bad = fleet.worker_key("w0").expect("worker");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut failed = 0;
+    let mut running: Vec<(Instant, _)> = Vec::new();
+    for ms in 0..20_000 {
+        let now = Instant::from_millis(1_000 + ms);
+        running.retain(|&(end, key)| {
+            let ended = end <= now;
+            if ended {
+                let took = Duration::from_millis(40);
+                fleet.finished(key, Outcome::Success { took }, now, 0.0);
+            }
+            !ended
+        });
+        let choice = Production.choose(&fleet, &request(&fleet, &[]), now, &mut rng);
+        let key = choice.expect("some worker is free").worker;
+        fleet.sent(key, now);
+        if key == bad {
+            failed += 1;
+            fleet.finished(key, Outcome::Failure, now, 0.0);
+        } else {
+            running.push((now.after(Duration::from_millis(40)), key));
+        }
+    }
+    // Five failures open the breaker; then there is one probe per pause of at most 30 s.
+    assert!(failed <= 10, "{failed} of 20000 requests went to the failing server");
+}
+
+/// Largest number of requests at one server when reports come once a second.
+fn peak<P: Policy>(policy: &P, slow: usize) -> u32 {
+    let mut fleet = fleet();
+    let keys: Vec<_> =
+        (0..WORKERS).map(|at| fleet.worker_key(&format!("w{at}")).expect("worker")).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut running: Vec<(Instant, usize)> = Vec::new();
+    let mut peak = 0;
+    for ms in 0..10_000 {
+        let now = Instant::from_millis(1_000 + ms);
+        running.retain(|&(end, worker)| {
+            let ended = end <= now;
+            if ended {
+                let took = Duration::from_millis(if worker == slow { 200 } else { 20 });
+                fleet.finished(keys[worker], Outcome::Success { took }, now, 0.0);
+            }
+            !ended
+        });
+        if ms % 1_000 == 0 {
+            for (worker, &key) in keys.iter().enumerate() {
+                let busy = running.iter().filter(|it| it.1 == worker).count();
+                let running = u32::try_from(busy).expect("small");
+                fleet.reported(
+                    key,
+                    Report {
+                        taken_at: now,
+                        incarnation: 1,
+                        running,
+                        queued: 0,
+                        capacity: 8,
+                        weight_version: Some(1),
+                        leaving: false,
+                    },
+                );
+            }
+        }
+        let choice = policy.choose(&fleet, &request(&fleet, &[]), now, &mut rng);
+        let Some(choice) = choice else { continue };
+        fleet.sent(choice.worker, now);
+        let worker = keys.iter().position(|&key| key == choice.worker).expect("known");
+        let took = if worker == slow { 200 } else { 20 };
+        running.push((now.after(Duration::from_millis(took)), worker));
+        let busy = running.iter().filter(|it| it.1 == worker).count();
+        peak = peak.max(u32::try_from(busy).expect("small"));
+    }
+    peak
+}
+
+/// Guards against a herd on the server that looked idle in the last report, and against work that
+/// piles up at a slow server.
+#[test]
+fn can_avoid_piles_that_the_baselines_build() {
+    let production = peak(&Production, 0);
+    assert!(production < peak(&LeastReported, 0), "{production}");
+    assert!(production < peak(&RoundRobin::default(), 0), "{production}");
+}
+
+/// Guards against prefix affinity that is ignored, or that overloads the one server that has it.
+#[test]
+fn can_follow_a_cached_prefix_until_its_server_is_busy() {
+    let mut fleet = fleet();
+    let holder = fleet.worker_key("w3").expect("worker");
+    fleet.worker_mut(holder).expect("worker").prefixes.apply(1, Change::Stored, "p");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let prefixes = ["p".to_owned()];
+    let now = Instant::from_millis(1_000);
+    let first = Production.choose(&fleet, &request(&fleet, &prefixes), now, &mut rng);
+    assert_eq!(first.expect("free").worker, holder);
+    let mut at_holder = 0;
+    for _ in 0..400 {
+        let choice = Production.choose(&fleet, &request(&fleet, &prefixes), now, &mut rng);
+        let key = choice.expect("free").worker;
+        at_holder += u32::from(key == holder);
+        fleet.sent(key, now);
+    }
+    assert!((50..=64).contains(&at_holder), "{at_holder}");
+}
