--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -8,7 +8,7 @@
     object::Store,
     table::{Error, Table},
 };
-use filbertsail_rollout::ledger::{self, Decision, Manifest, Table as Reach, Taken};
+use filbertsail_rollout::ledger::{self, Decision, Manifest, Record, Table as Reach, Taken};
 use filbertsail_rounds::{cursor::Cursor, manifest, row};
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{Frame, frame};
@@ -97,8 +97,8 @@
         }
         let candidate = self.works.get(&step).and_then(|work| work.candidate().cloned());
         match self.ledger.decide(&pending.fetch, candidate, self.reach) {
-            Decision::Record(taken) => {
-                self.record(taken);
+            Decision::Record(record) => {
+                self.record(record);
                 self.wait_until(pending, pending.until.after(CALL_GRACE));
             }
             Decision::Commit(taken) => {
@@ -199,15 +199,15 @@
     }
 
     /// Records batches that were delivered by cursor.
-    pub(super) fn record(&mut self, taken: Vec<Taken>) {
-        if self.busy {
+    pub(super) fn record(&mut self, record: Record) {
+        if self.busy || record.is_empty() {
             return;
         }
         self.busy = true;
         let (table, trainer, epoch) = (self.ports.table.clone(), self.trainer.clone(), self.epoch);
         self.spawn(async move {
-            let result = ops::record(table, &trainer, epoch, &taken).await;
-            Event::Table(ops::Outcome::Record(taken, result))
+            let result = ops::record(table, &trainer, epoch, &record).await;
+            Event::Table(ops::Outcome::Record(result))
         });
     }
 
@@ -256,13 +256,11 @@
     pub(super) fn table_answered(&mut self, outcome: ops::Outcome) {
         match outcome {
             ops::Outcome::Commit(taken, commit) => self.committed(taken, commit),
-            ops::Outcome::Record(taken, result) => {
-                if self.answered(result) {
-                    for taken in taken {
-                        self.settle(taken);
-                    }
-                }
-            }
+            ops::Outcome::Record(result) => match self.reached(result) {
+                Some(Some(rows)) => rows.into_iter().for_each(|taken| self.settle(taken)),
+                Some(None) => self.lost = true,
+                None => {}
+            },
             ops::Outcome::Progress(step, result) => {
                 if !self.answered(result)
                     && let Some(work) = self.works.get_mut(&step)
@@ -302,18 +300,15 @@
             }
             ops::Commit::Other(manifest) => self.settle(Taken { step, manifest }),
             ops::Commit::Closed => {
-                self.ledger.closed(step);
                 self.named.insert(step);
             }
             ops::Commit::Lost => self.lost = true,
             ops::Commit::Failed(error) => {
-                self.ledger.unwritten(step);
+                if matches!(error, Error::Unknown(_)) {
+                    self.ledger.uncertain(taken);
+                }
                 self.answered(Err(error));
             }
-            ops::Commit::Unknown => {
-                self.ledger.uncertain(step);
-                self.reach = Reach::Down;
-            }
         }
     }
 
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -14,7 +14,7 @@
 use filbertsail_cluster::lease::Holding;
 use filbertsail_http::client::Client as Http;
 use filbertsail_platform::{object::Store, table::Table};
-use filbertsail_rollout::{ledger::Echo, policy::Policy};
+use filbertsail_rollout::policy::Policy;
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{
     Frame,
@@ -81,7 +81,7 @@
     mut commands: mpsc::Receiver<Command>,
     stop: CancellationToken,
 ) {
-    let mut carried: Option<Echo> = None;
+    let mut carried = Vec::new();
     // A term that ended is over, even while the agent has not noticed the loss yet.
     let mut ended = 0;
     loop {
@@ -89,10 +89,10 @@
         if let Some(held) = held {
             let trainer = plan.borrow().trainer.clone();
             event("term_started", &trainer, held.epoch);
-            let term = Term::new(ports.clone(), plan.clone(), held, carried.take());
-            let echo = term.run(&mut holding, &mut commands, &stop).await;
+            let term = Term::new(ports.clone(), plan.clone(), held, std::mem::take(&mut carried));
+            let unrecorded = term.run(&mut holding, &mut commands, &stop).await;
             event("term_ended", &trainer, held.epoch);
-            (carried, ended) = (Some(echo), held.epoch);
+            (carried, ended) = (unrecorded, held.epoch);
             if stop.is_cancelled() {
                 return;
             }
--- a/components/controller/src/trainer/ops.rs
+++ b/components/controller/src/trainer/ops.rs
@@ -2,7 +2,7 @@
 
 use filbertsail_api::table::{Expect, Query, Row, Scan, Transaction};
 use filbertsail_platform::table::{Error, Table};
-use filbertsail_rollout::ledger::{Manifest, Taken};
+use filbertsail_rollout::ledger::{Manifest, Record, Taken};
 use filbertsail_rounds::{row, token};
 use serde_json::Value;
 
@@ -13,8 +13,8 @@
 pub enum Outcome {
     /// Commit of a batch.
     Commit(Taken, Commit),
-    /// Record of batches that a cursor states.
-    Record(Vec<Taken>, Result<bool, Error>),
+    /// Batches that the table holds after a record; `None` if the lease is lost.
+    Record(Result<Option<Vec<Taken>>, Error>),
     /// Write of the stored groups of a step.
     Progress(u64, Result<bool, Error>),
     /// Epoch in the lease row.
@@ -33,10 +33,8 @@
     Closed,
     /// Another holder has the lease.
     Lost,
-    /// Nothing was written.
+    /// There is no answer, or a refusal.
     Failed(Error),
-    /// It may have been written.
-    Unknown,
 }
 
 /// Rounds and manifests of a trainer.
@@ -78,33 +76,40 @@
                 None => Commit::Closed,
             }
         }
-        Err(Error::Unknown(_)) => Commit::Unknown,
         Err(error) => Commit::Failed(error),
     }
 }
 
-/// Records batches that the trainer has taken. `Ok(false)` means that the lease is lost.
+/// Records batches that were delivered without the table; `None` means that the lease is lost.
 pub async fn record<T: Table>(
     table: T,
     trainer: &str,
     epoch: u64,
-    taken: &[Taken],
-) -> Result<bool, Error> {
-    let keys = taken.iter().map(|taken| row::manifest_key(trainer, taken.step)).collect();
+    record: &Record,
+) -> Result<Option<Vec<Taken>>, Error> {
+    let all = || record.stated.iter().chain(&record.offered);
+    let keys = all().map(|taken| row::manifest_key(trainer, taken.step)).collect();
     let rows = table.read(Query { keys }).await?;
     let mut checks = vec![row::fenced(trainer, epoch)];
-    let mut writes = Vec::new();
-    for Taken { step, manifest } in taken {
-        let key = row::manifest_key(trainer, *step);
-        let known = rows.iter().find(|row| row.key == key);
-        checks.push(known.map_or_else(|| row::absent(key.clone()), row::unchanged));
-        let same = known.and_then(row::parse::<Manifest>);
-        if same.is_none_or(|same| same.digest != manifest.digest) {
-            writes.push(row::write(key, manifest));
+    let (mut writes, mut held) = (Vec::new(), Vec::new());
+    for taken in all() {
+        let key = row::manifest_key(trainer, taken.step);
+        let row = rows.iter().find(|row| row.key == key);
+        checks.push(row.map_or_else(|| row::absent(key.clone()), row::unchanged));
+        let known = row.and_then(row::parse::<Manifest>);
+        let stays = |known: &Manifest| {
+            known.digest == taken.manifest.digest || !record.stated.contains(taken)
+        };
+        if let Some(manifest) = known.filter(stays) {
+            held.push(Taken { step: taken.step, manifest });
+        } else {
+            writes.push(row::write(key, &taken.manifest));
+            held.push(taken.clone());
         }
     }
     let transaction = Transaction { checks, token: token(), writes };
-    fenced(table.transact(transaction).await.map(drop), trainer)
+    let written = fenced(table.transact(transaction).await.map(drop), trainer)?;
+    Ok(written.then_some(held))
 }
 
 /// Writes the list of stored groups. `Ok(false)` means that the lease is lost.
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -11,7 +11,7 @@
 use filbertsail_cluster::lease::Holding;
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{
-    ledger::{Echo, Ledger, Table as Reach},
+    ledger::{Ledger, Table as Reach, Taken},
     staleness::Forecast,
     straggler::Budget,
 };
@@ -80,15 +80,12 @@
         ports: Ports<T, S, G, C>,
         plan: watch::Receiver<Plan>,
         held: Holding,
-        carried: Option<Echo>,
+        carried: Vec<Taken>,
     ) -> Self {
         let now = ports.clock.now();
         let (sender, events) = mpsc::unbounded_channel();
         let mut ledger = Ledger::new(held.epoch, []);
-        // Nobody else held the lease in between if the epoch rose by one.
-        if let Some(echo) = carried.filter(|echo| echo.epoch + 1 >= held.epoch) {
-            ledger.echo(&echo);
-        }
+        carried.into_iter().for_each(|taken| ledger.uncertain(taken));
         let trainer = plan.borrow().trainer.clone();
         Self {
             ports,
@@ -133,7 +130,7 @@
         holding: &mut watch::Receiver<Option<Holding>>,
         commands: &mut mpsc::Receiver<Command>,
         stop: &CancellationToken,
-    ) -> Echo {
+    ) -> Vec<Taken> {
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         while !(self.lost || self.draining && self.is_idle()) {
@@ -153,7 +150,7 @@
                 _ = tick.tick() => self.tick(),
             }
         }
-        Echo { epoch: self.epoch, taken: self.ledger.unrecorded() }
+        self.ledger.unrecorded()
     }
 
     /// Whether this process may act as holder now.
@@ -274,8 +271,8 @@
         } else if now >= self.next_refresh {
             self.next_refresh = now.after(REFRESH);
             self.refresh();
-        } else if !self.ledger.unrecorded().is_empty() {
-            self.record(self.ledger.unrecorded());
+        } else if !self.ledger.unwritten().is_empty() {
+            self.record(self.ledger.unwritten());
         } else {
             self.note_progress(now);
         }
--- a/components/rollout/src/ledger/mod.rs
+++ b/components/rollout/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 //! epoch lower than the highest it has seen, so what its cursor states overrides a manifest that
 //! was committed and never taken.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
@@ -79,14 +79,31 @@
     Down,
 }
 
+/// Batches to record.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// The trainer states that it took these; they replace any other batch of their steps.
+    pub stated: Vec<Taken>,
+    /// These were delivered, but nothing shows that they arrived; a recorded batch stays.
+    pub offered: Vec<Taken>,
+}
+
+impl Record {
+    /// Whether there is nothing to record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.stated.is_empty() && self.offered.is_empty()
+    }
+}
+
 /// What to do about a fetch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Record these batches, report them, then decide again.
-    Record(Vec<Taken>),
+    /// Record these batches, report what the table then holds, then decide again.
+    Record(Record),
     /// Commit this batch if the step has none, report the result, then decide again.
     Commit(Taken),
-    /// Deliver. The batches under `cursor` are not recorded yet.
+    /// Deliver. The batches under `cursor` are not known to be recorded.
     Deliver {
         /// Batch to deliver.
         manifest: Manifest,
@@ -107,8 +124,8 @@
     epoch: u64,
     recorded: BTreeMap<u64, Manifest>,
     taken: BTreeMap<u64, Manifest>,
-    pinned: BTreeMap<u64, Manifest>,
-    uncertain: BTreeSet<u64>,
+    /// What the trainer's latest cursor states and the table does not record so.
+    echoed: BTreeMap<u64, Manifest>,
 }
 
 impl Ledger {
@@ -116,102 +133,102 @@
     #[must_use]
     pub fn new(epoch: u64, recorded: impl IntoIterator<Item = Taken>) -> Self {
         let recorded = recorded.into_iter().map(|taken| (taken.step, taken.manifest)).collect();
-        let (taken, pinned) = (BTreeMap::new(), BTreeMap::new());
-        Self { epoch, recorded, taken, pinned, uncertain: BTreeSet::new() }
+        Self { epoch, recorded, taken: BTreeMap::new(), echoed: BTreeMap::new() }
     }
 
     /// Whether the batch of `step` is settled, so that its samples cannot change any more.
     #[must_use]
     pub fn is_settled(&self, step: u64) -> bool {
-        [&self.recorded, &self.taken, &self.pinned].iter().any(|map| map.contains_key(&step))
+        let settled = [&self.recorded, &self.taken, &self.echoed];
+        settled.iter().any(|map| map.contains_key(&step))
     }
 
-    /// Batches delivered and not recorded.
+    /// What to record when the table answers.
+    #[must_use]
+    pub fn unwritten(&self) -> Record {
+        let offered = self.taken.iter().filter(|(step, _)| !self.echoed.contains_key(step));
+        Record { stated: list(&self.echoed), offered: list(offered) }
+    }
+
+    /// Batches that the trainer or this holder knows of and the table may not.
     #[must_use]
     pub fn unrecorded(&self) -> Vec<Taken> {
-        let taken = self.taken.iter();
-        taken.map(|(step, manifest)| Taken { step: *step, manifest: manifest.clone() }).collect()
+        let mut all = self.taken.clone();
+        all.extend(self.echoed.clone());
+        list(&all)
     }
 
-    /// Takes over what a cursor states.
+    /// Takes over what the trainer's latest cursor states, in place of what an earlier one stated:
+    /// a trainer that went back to a checkpoint has not taken the batches after it.
     pub fn echo(&mut self, echo: &Echo) {
+        self.echoed.clear();
         for Taken { step, manifest } in &echo.taken {
             let known = self.recorded.get(step);
-            if known.is_some_and(|known| known.digest == manifest.digest) {
-                continue;
+            if known.is_none_or(|known| known.digest != manifest.digest) {
+                self.echoed.insert(*step, manifest.clone());
             }
-            self.pinned.remove(step);
-            self.recorded.remove(step);
-            self.taken.insert(*step, manifest.clone());
         }
     }
 
     /// Decides on a fetch. `candidate` is the complete batch of the step, if there is one.
     pub fn decide(&mut self, fetch: &Fetch, candidate: Option<Manifest>, table: Table) -> Decision {
-        if let Some(echo) = &fetch.echo {
-            if echo.epoch > self.epoch {
-                return Decision::Superseded;
-            }
-            self.echo(echo);
+        let echo = fetch.echo.clone().unwrap_or_default();
+        if echo.epoch > self.epoch {
+            return Decision::Superseded;
         }
-        if table == Table::Up && !self.taken.is_empty() {
-            return Decision::Record(self.unrecorded());
+        self.echo(&echo);
+        let unwritten = self.unwritten();
+        if table == Table::Up && !unwritten.is_empty() {
+            return Decision::Record(unwritten);
         }
         let step = fetch.step;
-        if let Some(known) = self.recorded.get(&step).or_else(|| self.taken.get(&step)) {
-            return self.deliver(known.clone(), fetch.version);
+        let known = [&self.echoed, &self.recorded, &self.taken];
+        if let Some(known) = known.iter().find_map(|map| map.get(&step)) {
+            return self.deliver(known.clone(), fetch, table);
         }
-        let pinned = self.pinned.get(&step).cloned();
-        let Some(manifest) = pinned.or(candidate.filter(|it| !it.is_stale(fetch.version))) else {
+        let Some(manifest) = candidate.filter(|it| !it.is_stale(fetch.version)) else {
             return Decision::Wait;
         };
         if table == Table::Up {
-            self.pinned.insert(step, manifest.clone());
             return Decision::Commit(Taken { step, manifest });
         }
-        if manifest.is_stale(fetch.version) {
-            return Decision::Stale;
-        }
-        if self.taken.len() >= MAX_TAKEN {
+        if self.echoed.len() >= MAX_TAKEN {
             return Decision::Wait;
         }
-        self.pinned.remove(&step);
         self.taken.insert(step, manifest.clone());
-        self.deliver(manifest, fetch.version)
+        self.deliver(manifest, fetch, table)
     }
 
-    fn deliver(&self, manifest: Manifest, version: u64) -> Decision {
-        if manifest.is_stale(version) {
+    fn deliver(&self, manifest: Manifest, fetch: &Fetch, table: Table) -> Decision {
+        if manifest.is_stale(fetch.version) {
             return Decision::Stale;
         }
-        Decision::Deliver { manifest, cursor: self.unrecorded() }
+        // The cursor states what the trainer has taken, never what was only offered to it.
+        let mut cursor = self.echoed.clone();
+        if table == Table::Down {
+            // Even a recorded batch: a newer holder may have replaced its row.
+            cursor.insert(fetch.step, manifest.clone());
+        }
+        Decision::Deliver { manifest, cursor: list(&cursor) }
+    }
+
+    /// Takes note that the answer to a commit was lost: the step keeps this batch.
+    pub fn uncertain(&mut self, taken: Taken) {
+        self.taken.insert(taken.step, taken.manifest);
     }
 
     /// Takes note that the table records `taken`.
     pub fn recorded(&mut self, taken: Taken) {
-        self.pinned.remove(&taken.step);
         self.taken.remove(&taken.step);
+        self.echoed.remove(&taken.step);
         self.recorded.insert(taken.step, taken.manifest);
         while self.recorded.len() > KEPT_STEPS {
             self.recorded.pop_first();
         }
     }
+}
 
-    /// Takes note that the answer to a commit was lost: the step keeps this batch.
-    pub fn uncertain(&mut self, step: u64) {
-        self.uncertain.insert(step);
-    }
-
-    /// Takes note that a commit was not written. Another batch may be chosen, unless an earlier
-    /// commit of the same batch may have been written.
-    pub fn unwritten(&mut self, step: u64) {
-        if !self.uncertain.contains(&step) {
-            self.pinned.remove(&step);
-        }
-    }
-
-    /// Takes note that the round was closed before its batch was committed.
-    pub fn closed(&mut self, step: u64) {
-        self.pinned.remove(&step);
-    }
+fn list<'a>(steps: impl IntoIterator<Item = (&'a u64, &'a Manifest)>) -> Vec<Taken> {
+    let steps = steps.into_iter();
+    steps.map(|(step, manifest)| Taken { step: *step, manifest: manifest.clone() }).collect()
 }
