--- /dev/null
+++ b/components/bench/src/capacity/takeover.rs
@@ -0,0 +1,150 @@
+//! Time for which the work of a crashed holder stands still, and table outages that a holder
+//! survives, by lease TTL.
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use eyre::{WrapErr, eyre};
+use filbertsail_cluster::{
+    agent::{self, Handle, Identity, Settings},
+    lease::{Guard, Times},
+};
+use filbertsail_platform::fake::Table;
+use filbertsail_wire::{frame::Role, link::auth::Key};
+use serde::Serialize;
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::{JoinSet, spawn_blocking},
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Time limit of a takeover, in TTLs.
+const LIMIT_TTLS: u32 = 5;
+/// Time between the starts of two trials, which spreads crashes over the renewal interval.
+const STAGGER: Duration = Duration::from_millis(173);
+/// Outages of the table that are tried, in seconds.
+const OUTAGES_S: [u64; 4] = [1, 2, 3, 4];
+
+/// Takeovers at one TTL.
+#[derive(Clone, Debug, Display, Serialize)]
+#[display(
+    "ttl {ttl_ms} ms: stands still p50 {p50_ms} ms, max {max_ms} ms over {crashes} crashes; \
+     lease kept through table outages of 1, 2, 3, 4 s: {kept:?}"
+)]
+pub struct Takeover {
+    /// Lease TTL in milliseconds.
+    pub ttl_ms: u64,
+    /// Crashes.
+    pub crashes: usize,
+    /// Median time without a holder in milliseconds.
+    pub p50_ms: u64,
+    /// Largest time without a holder in milliseconds.
+    pub max_ms: u64,
+    /// Holders out of all trials that kept the lease through each outage.
+    pub kept: Vec<String>,
+}
+
+/// Measures takeovers at each TTL.
+///
+/// # Errors
+/// Fails if a lease is not taken in time.
+pub async fn run(ttls: &[Duration], crashes: usize) -> eyre::Result<Vec<Takeover>> {
+    let mut takeovers = Vec::new();
+    for ttl in ttls.iter().copied().filter(|_| crashes > 0) {
+        takeovers.push(measure(ttl, crashes).await?);
+    }
+    Ok(takeovers)
+}
+
+async fn measure(ttl: Duration, crashes: usize) -> eyre::Result<Takeover> {
+    let (mut trials, mut outages) = (JoinSet::new(), JoinSet::new());
+    for number in 0..crashes {
+        let offset = STAGGER * u32::try_from(number)?;
+        trials.spawn(crash(ttl, offset));
+        for outage in OUTAGES_S {
+            outages.spawn(async move { (outage, survives(ttl, offset, outage).await) });
+        }
+    }
+    let mut times = trials.join_all().await.into_iter().collect::<eyre::Result<Vec<_>>>()?;
+    let outages = outages.join_all().await;
+    times.sort_unstable();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let kept = |seconds| {
+        let kept = outages.iter().filter(|(tried, kept)| *tried == seconds && *kept).count();
+        format!("{kept}/{crashes}")
+    };
+    Ok(Takeover {
+        ttl_ms: millis(ttl),
+        crashes,
+        p50_ms: millis(times[times.len() / 2]),
+        max_ms: times.last().copied().map_or(0, millis),
+        kept: OUTAGES_S.map(kept).to_vec(),
+    })
+}
+
+fn start(name: &str, ttl: Duration, table: &Table, stop: &CancellationToken) -> Handle<Table> {
+    let identity = Identity {
+        name: name.to_owned(),
+        role: Role::Controller,
+        zone: "zone-0".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        incarnation: 1,
+        key: Key::new(vec![7; 32]),
+    };
+    let lease = Times { ttl, ..Times::default() };
+    let settings = Settings { lease, ..Settings::default() };
+    agent::start(identity, settings, table.clone(), stop.clone())
+}
+
+async fn held(guard: &Guard, limit: Duration) -> eyre::Result<()> {
+    let mut holding = guard.holding();
+    timeout(limit, holding.wait_for(Option::is_some)).await.wrap_err("lease not taken")??;
+    Ok(())
+}
+
+/// Ends the runtime of a holder without a release and returns the time until the next holder.
+async fn crash(ttl: Duration, offset: Duration) -> eyre::Result<Duration> {
+    let (table, stop) = (Table::default(), CancellationToken::new());
+    let runtime = holder_runtime()?;
+    let limit = ttl * LIMIT_TTLS;
+    let guard = {
+        let _context = runtime.enter();
+        let agent = start("holder", ttl, &table, &stop);
+        agent.lease("trainer/a")
+    };
+    held(&guard, limit).await?;
+    let contender = start("contender", ttl, &table, &stop);
+    let next = contender.lease("trainer/a");
+    // Long enough for renewals, then anywhere between two of them.
+    sleep(ttl + offset).await;
+    if guard.holding().borrow().is_none() {
+        return Err(eyre!("lease lost before the crash"));
+    }
+    let crashed = Instant::now();
+    spawn_blocking(move || runtime.shutdown_background()).await?;
+    held(&next, limit).await?;
+    let time = crashed.elapsed();
+    stop.cancel();
+    Ok(time)
+}
+
+fn holder_runtime() -> eyre::Result<Runtime> {
+    Builder::new_multi_thread().worker_threads(1).enable_all().build().wrap_err("start a runtime")
+}
+
+/// Whether a holder keeps its lease through an outage of the table.
+async fn survives(ttl: Duration, offset: Duration, outage: u64) -> bool {
+    let (table, stop) = (Table::default(), CancellationToken::new());
+    let agent = start("holder", ttl, &table, &stop);
+    let guard = agent.lease("trainer/a");
+    let kept = held(&guard, ttl * LIMIT_TTLS).await.is_ok();
+    sleep(ttl + offset).await;
+    let mut holding = guard.holding();
+    table.set_down(true);
+    let lost = holding.wait_for(Option::is_none);
+    let lost = timeout(Duration::from_secs(outage), lost).await.is_ok();
+    table.set_down(false);
+    stop.cancel();
+    kept && !lost
+}
--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -22,6 +22,29 @@
     Demo(Demo),
     /// Runs a scenario.
     Run(Run),
+    /// Measures the control overhead per daemon.
+    Capacity(Capacity),
+}
+
+/// Measure control traffic, CPU time and memory per daemon over the number of daemons.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// number of daemons; may be repeated
+    #[argh(option)]
+    pub daemons: Vec<usize>,
+    /// seconds over which each number is measured
+    #[argh(option, default = "20")]
+    pub seconds: u64,
+    /// configuration changes to time
+    #[argh(option, default = "200")]
+    pub changes: usize,
+    /// crashed holders per lease TTL
+    #[argh(option, default = "12")]
+    pub crashes: usize,
+    /// file for the result as JSON
+    #[argh(option)]
+    pub json: Option<PathBuf>,
 }
 
 /// Name the scenarios and policies.
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod arrival;
 pub mod balance;
 pub mod breaks;
+pub mod capacity;
 pub mod checker;
 pub mod customer;
 pub mod journal;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -13,6 +13,7 @@
     match args.command {
         Command::List(_) => Ok(cmd::list::run()),
         Command::Demo(demo) => cmd::demo::run(demo).await,
+        Command::Capacity(capacity) => cmd::capacity::run(capacity).await,
         Command::Run(run) => cmd::run::run(run).await,
     }
 }
