Cluster: test table outage, fresh VM and cut-off daemon; close idle links

Links that were opened to ask all daemons for their version stayed open for ever. They are closed after two minutes without use. The bench compares an exchange of digests over the peer link with one over UDP.

--- a/components/bench/src/capacity/mod.rs
+++ b/components/bench/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod fit;
 pub mod fleet;
+pub mod heartbeat;
 pub mod takeover;
 pub mod usage;
 
@@ -20,7 +21,10 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
-use self::{change::Changes, fit::Line, fleet::Fleet, takeover::Takeover, usage::Usage};
+use self::{
+    change::Changes, fit::Line, fleet::Fleet, heartbeat::Heartbeat, takeover::Takeover,
+    usage::Usage,
+};
 
 /// Time for daemons to meet before they are measured.
 const SETTLE: Duration = Duration::from_secs(15);
@@ -40,6 +44,8 @@
     pub crashes: usize,
     /// Lease TTLs.
     pub ttls: Vec<Duration>,
+    /// Exchanges of digests over each transport.
+    pub exchanges: u32,
 }
 
 impl Default for Options {
@@ -51,6 +57,7 @@
             change_daemons: 24,
             crashes: 12,
             ttls: [2, 3, 4, 6, 8, 12].map(Duration::from_secs).to_vec(),
+            exchanges: 20_000,
         }
     }
 }
@@ -85,6 +92,8 @@
     pub cpu: Line,
     /// Line through the memory of all daemons.
     pub memory: Line,
+    /// Cost of an exchange of digests.
+    pub heartbeat: Option<Heartbeat>,
     /// Time to take over by TTL.
     pub takeovers: Vec<Takeover>,
     /// Time until a configuration is in force.
@@ -100,6 +109,10 @@
     for daemons in options.daemons.iter().copied() {
         points.push(point(daemons, options.seconds).await?);
     }
+    let heartbeat = match options.exchanges {
+        0 => None,
+        exchanges => Some(heartbeat::run(exchanges).await?),
+    };
     let takeovers = takeover::run(&options.ttls, options.crashes).await?;
     let changes = match options.changes {
         0 => None,
@@ -114,7 +127,7 @@
     };
     let (peer_bytes, cpu) = (line(|point| point.peer_bytes_per_s), line(|point| point.cpu_percent));
     let memory = line(|point| point.memory_mib);
-    Ok(Report { points, peer_bytes, cpu, memory, takeovers, changes })
+    Ok(Report { points, peer_bytes, cpu, memory, heartbeat, takeovers, changes })
 }
 
 async fn point(daemons: usize, seconds: Duration) -> eyre::Result<Point> {
@@ -160,6 +173,9 @@
         writeln!(out, "peer B/s of all daemons: {}", self.peer_bytes)?;
         writeln!(out, "cpu % of all daemons: {}", self.cpu)?;
         writeln!(out, "memory MiB of all daemons: {}", self.memory)?;
+        if let Some(heartbeat) = &self.heartbeat {
+            writeln!(out, "{heartbeat}")?;
+        }
         for takeover in &self.takeovers {
             writeln!(out, "{takeover}")?;
         }
--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -39,6 +39,9 @@
     /// configuration changes to time
     #[argh(option, default = "200")]
     pub changes: usize,
+    /// exchanges of digests over the peer link and over UDP
+    #[argh(option, default = "20000")]
+    pub exchanges: u32,
     /// crashed holders per lease TTL
     #[argh(option, default = "12")]
     pub crashes: usize,
--- a/components/bench/src/cmd/capacity.rs
+++ b/components/bench/src/cmd/capacity.rs
@@ -13,6 +13,7 @@
         seconds: Duration::from_secs(args.seconds),
         changes: args.changes,
         crashes: args.crashes,
+        exchanges: args.exchanges,
         ..Options::default()
     };
     if !args.daemons.is_empty() {
--- a/components/cluster/src/peers/mod.rs
+++ b/components/cluster/src/peers/mod.rs
@@ -12,14 +12,23 @@
     frame::Hello,
     link::{auth::Key, client::Client},
 };
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
+
+/// Time after which an unused link is closed: a daemon probes few others regularly, and asks all of
+/// them only after a change of the configuration.
+const IDLE: Duration = Duration::from_secs(120);
 
 /// Links by address, shared by clones.
 #[derive(Clone)]
 pub(crate) struct Pool {
     key: Key,
     hello: Arc<Hello>,
-    clients: Arc<Mutex<HashMap<SocketAddr, Client>>>,
+    clients: Arc<Mutex<HashMap<SocketAddr, Link>>>,
+}
+
+struct Link {
+    client: Client,
+    used: Instant,
 }
 
 impl Pool {
@@ -45,11 +54,14 @@
 
     fn client(&self, address: SocketAddr) -> Option<Client> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(&address) {
-            return Some(client.clone());
+        let now = Instant::now();
+        if let Some(link) = clients.get_mut(&address) {
+            link.used = now;
+            return Some(link.client.clone());
         }
+        clients.retain(|_, link| now - link.used < IDLE);
         let client = Client::new(address, &self.key, &self.hello).ok()?;
-        clients.insert(address, client.clone());
+        clients.insert(address, Link { client: client.clone(), used: now });
         Some(client)
     }
 }
--- a/components/cluster/tests/agent/common.rs
+++ b/components/cluster/tests/agent/common.rs
@@ -49,30 +49,57 @@
     pub table: Table,
     pub agents: Vec<Handle<Table>>,
     stops: Vec<CancellationToken>,
+    servers: Vec<CancellationToken>,
+    seeds: Vec<SocketAddr>,
 }
 
 impl Fleet {
     /// Starts `count` agents in three zones.
     pub async fn start(count: usize) -> Self {
-        let mut fleet = Self { table: Table::default(), agents: Vec::new(), stops: Vec::new() };
-        let mut seeds = Vec::new();
-        for index in 0..count {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-            let address = listener.local_addr().expect("address");
-            seeds.push(address);
-            let seeds = vec![seeds[0]];
-            let stop = CancellationToken::new();
-            let identity = identity(index, address);
-            let key = identity.key.clone();
-            let settings = Settings { seeds, ..Settings::default() };
-            let agent = agent::start(identity, settings, fleet.table.clone(), stop.clone());
-            tokio::spawn(serve(listener, key, Peers(agent.clone()), stop.clone()));
-            fleet.agents.push(agent);
-            fleet.stops.push(stop);
+        let mut fleet = Self {
+            table: Table::default(),
+            agents: Vec::new(),
+            stops: Vec::new(),
+            servers: Vec::new(),
+            seeds: Vec::new(),
+        };
+        for _ in 0..count {
+            fleet.add().await;
         }
         fleet
     }
 
+    /// Starts one more agent, which knows the first one.
+    pub async fn add(&mut self) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let address = listener.local_addr().expect("address");
+        if self.seeds.is_empty() {
+            self.seeds.push(address);
+        }
+        let (stop, server) = (CancellationToken::new(), CancellationToken::new());
+        let identity = identity(self.agents.len(), address);
+        let key = identity.key.clone();
+        let settings = Settings { seeds: self.seeds.clone(), ..Settings::default() };
+        let agent = agent::start(identity, settings, self.table.clone(), stop.clone());
+        let server_stop = server.clone();
+        let peers = Peers(agent.clone());
+        tokio::spawn(async move {
+            // Dropping the server cuts its listener off as a partition does.
+            tokio::select! {
+                () = serve(listener, key, peers, CancellationToken::new()) => {}
+                () = server_stop.cancelled() => {}
+            }
+        });
+        self.agents.push(agent);
+        self.stops.push(stop);
+        self.servers.push(server);
+    }
+
+    /// Makes one agent unreachable for the others.
+    pub fn cut_off(&self, index: usize) {
+        self.servers[index].cancel();
+    }
+
     /// Waits until every agent sees all others.
     pub async fn meet(&self) {
         let count = self.agents.len();
--- a/components/cluster/tests/agent/fleet.rs
+++ b/components/cluster/tests/agent/fleet.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use filbertsail_api::admin::Apply;
-use tokio::time::timeout;
+use filbertsail_cluster::config::apply::Error;
+use tokio::time::{sleep, timeout};
 
 use crate::common::{self, Fleet};
 
@@ -47,3 +48,38 @@
     assert!(held);
     assert_eq!(second.holding().borrow().expect("held").epoch, epoch + 1);
 }
+
+async fn ready(fleet: &Fleet, index: usize, wanted: bool) {
+    let mut ready = fleet.agents[index].ready();
+    let changed = ready.wait_for(|ready| *ready == wanted);
+    timeout(LIMIT, changed).await.expect("in time").expect("runs");
+}
+
+/// Guards against a fresh VM that waits for the table, against an outage that stops the fleet, and
+/// against a cut-off daemon that goes on with a configuration that it cannot confirm.
+#[tokio::test]
+async fn can_live_through_a_table_outage_but_not_alone() {
+    let mut fleet = Fleet::start(3).await;
+    fleet.meet().await;
+    fleet.agents[0].apply(change(common::INVENTORY)).await.expect("accepted");
+    fleet.table.set_down(true);
+    fleet.add().await;
+    fleet.meet().await;
+    ready(&fleet, 3, true).await;
+    assert_eq!(fleet.agents[3].config().borrow().as_ref().map(|config| config.version), Some(1));
+    // Longer than a confirmation counts.
+    sleep(Duration::from_secs(10)).await;
+    for agent in &fleet.agents {
+        assert!(*agent.ready().borrow());
+    }
+    let refused = fleet.agents[1].apply(change(common::INVENTORY)).await;
+    assert!(matches!(refused, Err(Error::Unavailable(_))), "{refused:?}");
+    for index in 1..4 {
+        fleet.cut_off(index);
+    }
+    ready(&fleet, 0, false).await;
+    let refused = fleet.agents[0].apply(change(common::INVENTORY)).await;
+    assert!(matches!(refused, Err(Error::Minority { .. })), "{refused:?}");
+    fleet.table.set_down(false);
+    ready(&fleet, 0, true).await;
+}
