--- a/components/cluster/src/agent/mod.rs
+++ b/components/cluster/src/agent/mod.rs
@@ -6,6 +6,7 @@
 
 use filbertsail_clock::{Boot, Source};
 use filbertsail_platform::{budget::Budget, table::Table};
+use filbertsail_telemetry::metrics::Registry;
 use filbertsail_wire::{
     frame::{Condition, Hello, Member, Role},
     link::auth::Key,
@@ -13,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{config, lease, member, peers::Pool, token::Tokens};
+use crate::{config, lease, member, metrics::Metrics, peers::Pool, token::Tokens};
 
 pub use handle::Handle;
 
@@ -74,6 +75,8 @@
     pub lease: lease::Times,
     /// Budget whose share follows from the number of live daemons.
     pub budget: Option<Budget>,
+    /// Where metrics go.
+    pub metrics: Option<Registry>,
 }
 
 /// Starts the agent with the clock of the VM.
@@ -108,12 +111,14 @@
     let tokens = Arc::new(Tokens::new(&identity.name, identity.incarnation));
     let peers = Pool::new(identity.key.clone(), identity.hello());
     let seed = crate::subset::score(&identity.name, &identity.incarnation.to_string());
+    let metrics = Metrics::new(settings.metrics.as_ref());
     let tasks = TaskTracker::new();
     let member = member::task::Task {
         view,
         clock: clock.clone(),
         peers: peers.clone(),
         budget: settings.budget,
+        metrics: metrics.clone(),
         confirmed: confirmed_out,
         output: member::task::Output { members, candidates, majority, heard: config_in.clone() },
         probes: member::task::Probes::new(seed),
@@ -127,6 +132,7 @@
         peers: peers.clone(),
         members: members_out.clone(),
         majority: majority_out.clone(),
+        metrics: metrics.clone(),
         output: config::task::Output {
             config,
             confirmed,
@@ -145,6 +151,7 @@
         clock,
         tokens: Arc::clone(&tokens),
         candidates: candidates_out,
+        metrics,
         work: lease::task::Work::default(),
     };
     tasks.spawn(async move {
--- a/components/cluster/src/config/task.rs
+++ b/components/cluster/src/config/task.rs
@@ -19,6 +19,7 @@
 use super::{HEAD, Head, Snapshot, Version, follower::Follower, key};
 use crate::{
     member::{self, State},
+    metrics::Metrics,
     peers::Pool,
 };
 
@@ -74,6 +75,7 @@
     pub(crate) peers: Pool,
     pub(crate) members: watch::Receiver<Arc<[State]>>,
     pub(crate) majority: watch::Receiver<(usize, usize)>,
+    pub(crate) metrics: Metrics,
     pub(crate) output: Output,
     pub(crate) work: Work,
 }
@@ -220,7 +222,7 @@
         self.work.follower.hear(config.version, age.map(|age| sent.before(age)));
     }
 
-    fn adopt(&mut self, snapshot: Arc<Snapshot>, source: &str) {
+    fn adopt(&mut self, snapshot: Arc<Snapshot>, source: &'static str) {
         let (version, digest) = (snapshot.version, snapshot.digest.clone());
         if !self.work.follower.adopt(snapshot) {
             return;
@@ -228,6 +230,7 @@
         self.output.config.send_replace(self.work.follower.current().cloned());
         // Fails only while the daemon stops.
         let _ = self.output.version.send(member::task::Command::ConfigVersion(version));
+        self.metrics.config(version, source);
         Line::new("config_in_force")
             .with("version", version)
             .with("digest", digest)
--- a/components/cluster/src/lease/task.rs
+++ b/components/cluster/src/lease/task.rs
@@ -18,7 +18,7 @@
     Holding, Times, key,
     machine::{Action, Machine},
 };
-use crate::{subset, token::Tokens};
+use crate::{metrics::Metrics, subset, token::Tokens};
 
 /// Delay per rank of preference before a free lease is taken.
 const RANK_DELAY: Duration = Duration::from_millis(200);
@@ -66,6 +66,7 @@
     pub(crate) clock: C,
     pub(crate) tokens: Arc<Tokens>,
     pub(crate) candidates: Candidates,
+    pub(crate) metrics: Metrics,
     pub(crate) work: Work,
 }
 
@@ -228,6 +229,7 @@
             }
             Ok(Outcome::Released(scope, epoch, confirmed)) => {
                 self.released(&scope);
+                self.metrics.lease("released");
                 Line::new("lease_released")
                     .with("scope", scope)
                     .with("epoch", epoch)
@@ -281,15 +283,22 @@
                 continue;
             }
             entry.sender.send_replace(holding);
-            log_change(scope, before, holding, now);
+            log_change(&self.metrics, scope, before, holding, now);
         }
     }
 }
 
-fn log_change(scope: &str, before: Option<Holding>, after: Option<Holding>, now: Instant) {
+fn log_change(
+    metrics: &Metrics,
+    scope: &str,
+    before: Option<Holding>,
+    after: Option<Holding>,
+    now: Instant,
+) {
     match (before, after) {
         (Some(old), Some(new)) if old.epoch == new.epoch => {}
         (_, Some(new)) => {
+            metrics.lease("acquired");
             let wait = new.orders_from.since(now).as_millis();
             Line::new("lease_acquired")
                 .with("scope", scope)
@@ -298,6 +307,7 @@
                 .info();
         }
         (Some(old), None) => {
+            metrics.lease("lost");
             Line::new("lease_lost").with("scope", scope).with("epoch", old.epoch).warn();
         }
         (None, None) => {}
--- a/components/cluster/src/lib.rs
+++ b/components/cluster/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod member;
 pub mod subset;
 
+mod metrics;
 mod peers;
 mod token;
--- a/components/cluster/src/member/task.rs
+++ b/components/cluster/src/member/task.rs
@@ -18,7 +18,7 @@
     State,
     view::{Target, View},
 };
-use crate::{config, peers::Pool};
+use crate::{config, metrics::Metrics, peers::Pool};
 
 /// Time limit of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -53,6 +53,7 @@
     pub(crate) clock: C,
     pub(crate) peers: Pool,
     pub(crate) budget: Option<Budget>,
+    pub(crate) metrics: Metrics,
     pub(crate) confirmed: watch::Receiver<Option<(u64, Instant)>>,
     pub(crate) output: Output,
     pub(crate) probes: Probes,
@@ -111,7 +112,7 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         for member in self.view.expire(now) {
-            log_change("member_gone", &member);
+            self.log_change("member_gone", &member);
         }
         let confirmed = *self.confirmed.borrow();
         let recent = confirmed.is_some_and(|(_, at)| now.since(at) < ALERT_AFTER);
@@ -148,7 +149,7 @@
         let Some(reply) = probe.reply else {
             let suspect = probe.target.name.and_then(|name| self.view.failed(now, &name));
             if let Some(member) = suspect {
-                log_change("member_suspect", &member);
+                self.log_change("member_suspect", &member);
             }
             return self.publish();
         };
@@ -171,7 +172,7 @@
     fn merge(&mut self, now: Instant, digest: Digest) {
         let (view, full) = (digest.view, digest.full);
         for member in self.view.merge(now, digest.members) {
-            log_change(event_of(member.condition), &member);
+            self.log_change(event_of(member.condition), &member);
         }
         self.view.compare(now, view, full);
         self.publish();
@@ -210,9 +211,11 @@
         });
         if changed {
             self.output.candidates.send_replace(candidates(&states));
+            let live = states.iter().filter(|state| state.live).count();
             if let Some(budget) = &self.budget {
-                budget.set_members(states.iter().filter(|state| state.live).count());
+                budget.set_members(live);
             }
+            self.metrics.fleet(live, self.budget.as_ref().map_or(0, Budget::limited));
         }
         let majority = self.view.majority(self.clock.now());
         self.output.majority.send_if_modified(|current| {
@@ -222,6 +225,16 @@
         });
     }
 
+    fn log_change(&self, event: &'static str, member: &Member) {
+        self.metrics.member(event);
+        Line::new(event)
+            .with("member", &member.name)
+            .with("zone", &member.zone)
+            .with("incarnation", member.incarnation)
+            .with("revision", member.revision)
+            .info();
+    }
+
     /// Tells a few daemons of the planned stop, so that nobody has to suspect this one.
     async fn say_farewell(&mut self) {
         self.view.leave();
@@ -247,12 +260,3 @@
         Condition::Left => "member_left",
     }
 }
-
-fn log_change(event: &str, member: &Member) {
-    Line::new(event)
-        .with("member", &member.name)
-        .with("zone", &member.zone)
-        .with("incarnation", member.incarnation)
-        .with("revision", member.revision)
-        .info();
-}
