Gateway: check the epoch of an order before it is relayed

An order of a holder that was paused past its lease went through any gateway that had not relayed for the next holder yet. The gateway now compares it with the lease row if the engine ignores fencing numbers.

--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -74,6 +74,7 @@
     let agent_settings = agent::Settings {
         seeds: settings.peers.seeds.clone(),
         budget: Some(table.budget().clone()),
+        metrics: Some(metrics.clone()),
         ..agent::Settings::default()
     };
     let agent = agent::start(identity, agent_settings, table.clone(), agent_stop.clone());
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -105,13 +105,19 @@
 
     async fn order(&self, order: Order) -> Result<Outcome, Fault> {
         let targets = self.context.router.targets();
-        let server = {
+        let target = {
             let targets = targets.borrow();
-            targets.iter().find(|it| it.name == order.worker).map(|it| it.server.clone())
+            let target = targets.iter().find(|it| it.name == order.worker);
+            target.map(|it| (it.server.clone(), it.service.checks_fence))
         };
-        let server = server.ok_or_else(|| {
+        let (server, checks_fence) = target.ok_or_else(|| {
             Fault::refused(StatusCode::NOT_FOUND, "unknown_worker", "no such worker")
         })?;
+        // A holder that was paused before it sent the order cannot know of the next holder.
+        let current = self.agent.gate().admit(&order.scope, order.epoch, checks_fence).await;
+        current.map_err(|refusal| {
+            Fault::refused(StatusCode::CONFLICT, "old_order", refusal.to_string())
+        })?;
         let limit = ORDER_TIMEOUT.min(Duration::from_millis(order.life_ms));
         let call = order_call(&self.context.request_id(), &order).map_err(|it| fault(&it))?;
         let exchange = async {
