--- a/components/cluster/src/subset/mod.rs
+++ b/components/cluster/src/subset/mod.rs
@@ -5,6 +5,8 @@
 
 use std::hash::{Hash, Hasher};
 
+use filbertsail_collections::HashSet;
+
 /// FNV-1a, so that daemons of different builds agree on the ranking.
 #[derive(Clone, Copy)]
 struct Fnv(u64);
@@ -63,3 +65,25 @@
     ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
     ranked.into_iter().take(count).map(|(_, node)| node).collect()
 }
+
+/// Workers that the gateway `me` watches: its own zone-first subset of `size` workers, and those
+/// that count it among their `observers`. The latter make sure that no worker is left without a
+/// gateway, which random subsets alone do not.
+#[must_use]
+pub fn watched<'a, G: Located, W: Located>(
+    me: &G,
+    gateways: &[G],
+    workers: &'a [W],
+    size: usize,
+    observers: usize,
+) -> Vec<&'a W> {
+    let mut watched = zone_first(me.name(), me.zone(), workers, size);
+    let mut names: HashSet<_> = watched.iter().map(|worker| worker.name()).collect();
+    for worker in workers {
+        let mut chosen = zone_first(worker.name(), worker.zone(), gateways, observers).into_iter();
+        if chosen.any(|gateway| gateway.name() == me.name()) && names.insert(worker.name()) {
+            watched.push(worker);
+        }
+    }
+    watched
+}
