Platform: hold back writes of a fleet that restarts at once

With half of the assumed fleet dropped every 3 s, 420 daemons that start together had 490 writes per second between them, since each knows few others for some seconds; the table handles 400.

--- a/components/cluster/src/member/task.rs
+++ b/components/cluster/src/member/task.rs
@@ -217,6 +217,9 @@
             }
             self.metrics.fleet(live, self.budget.as_ref().map_or(0, Budget::limited));
         }
+        if let Some(budget) = self.budget.as_ref().filter(|_| self.view.is_settled()) {
+            budget.settle(self.output.members.borrow().iter().filter(|state| state.live).count());
+        }
         let majority = self.view.majority(self.clock.now());
         self.output.majority.send_if_modified(|current| {
             let changed = *current != majority;
--- a/components/cluster/src/member/view.rs
+++ b/components/cluster/src/member/view.rs
@@ -46,6 +46,8 @@
 const REPEATS: u32 = 8;
 /// Largest number of changed entries in a digest.
 const MAX_CHANGES: usize = 24;
+/// Daemons in a row with the same view after which the view counts as settled.
+const SETTLED_AGREEMENTS: u32 = 4;
 /// Daemons of each other zone that are probed.
 const REPRESENTATIVES: usize = 3;
 /// Mean time between two probes, usually and while the configuration is not confirmed.
@@ -84,6 +86,8 @@
     /// The configuration is not confirmed.
     alert: bool,
     hash: u64,
+    /// Daemons heard from in a row whose view was the same.
+    agreements: u32,
     /// Since when the view has differed from that of every daemon heard from.
     differs_since: Option<Instant>,
     full_at: Option<Instant>,
@@ -150,6 +154,7 @@
             turn: Vec::new(),
             doubted: Vec::new(),
             answered: None,
+            agreements: 0,
             differs_since: None,
             full_at: None,
         };
@@ -197,13 +202,23 @@
 
     /// Notes the view hash of a daemon heard from; all entries were exchanged if `full`.
     pub fn compare(&mut self, now: Instant, theirs: u64, full: bool) {
-        if full || theirs == self.hash() {
+        let same = theirs == self.hash();
+        self.agreements = if same { self.agreements.saturating_add(1) } else { 0 };
+        if full || same {
             self.differs_since = None;
         } else if self.differs_since.is_none() {
             self.differs_since = Some(now);
         }
     }
 
+    /// Whether the view has stopped changing: several daemons in a row had the same, or there is
+    /// nobody to hear from.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let alone = self.records.is_empty() && self.unknown_seeds().next().is_none();
+        alone || self.agreements >= SETTLED_AGREEMENTS
+    }
+
     /// Whether the next probe of `target` is to exchange all entries.
     fn wants_full(&self, now: Instant, target: &Target) -> bool {
         let differs = self.differs_since.is_some_and(|since| now.since(since) >= FULL_AFTER);
--- a/components/cluster/tests/membership.rs
+++ b/components/cluster/tests/membership.rs
@@ -8,6 +8,7 @@
 
 use filbertsail_clock::Instant;
 use filbertsail_cluster::member::view::View;
+use filbertsail_platform::budget::{Budget, Rates};
 use filbertsail_wire::{
     codec,
     frame::{Condition, Digest, Frame, Member, Role},
@@ -147,6 +148,30 @@
     let mut world = World::new(60, 6, 1);
     world.run(40);
     world.assert_live(0..60, 60);
+    // Otherwise the daemons would go on with the rates of the largest fleet.
+    assert!(world.views.iter().all(View::is_settled));
+}
+
+/// Guards against a fleet that overruns the table after a restart of all daemons, when each knows
+/// few others: the table handles 400 writes per second, of which the fleet may use 300 in the long
+/// run.
+#[tokio::test(start_paused = true)]
+async fn can_share_the_table_after_a_restart_of_all() {
+    let mut world = World::new(420, 13, 8);
+    let rates = Rates { writes_per_s: 300.0, reads_per_s: 2_000.0 };
+    let budgets: Vec<_> = (0..420).map(|_| Budget::new(rates)).collect();
+    for second in 0..25 {
+        world.run(1);
+        tokio::time::advance(Duration::from_secs(1)).await;
+        for (index, budget) in budgets.iter().enumerate() {
+            budget.set_members(world.live(index));
+            if world.views[index].is_settled() {
+                budget.settle(world.live(index));
+            }
+        }
+        let total: f64 = budgets.iter().map(Budget::writes_per_s).sum();
+        assert!(total <= 400.0, "{total} writes per second in second {second}");
+    }
 }
 
 /// Guards against a crashed daemon that stays in the views, and against a successor under the
--- a/components/platform/src/budget/mod.rs
+++ b/components/platform/src/budget/mod.rs
@@ -1,8 +1,9 @@
 //! Rate budget of one daemon towards the table service.
 //!
 //! The fleet's rate is divided by the number of daemons. A daemon that has just started assumes
-//! the largest fleet and lowers the assumption only step by step, so a fleet that restarts at
-//! once stays within the rate although no daemon knows the others yet.
+//! the largest fleet and lowers the assumption only step by step until it is told that its view has
+//! settled, so a fleet that restarts at once stays within the rate although no daemon knows the
+//! others yet.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -17,7 +18,7 @@
 /// Daemons assumed at the start.
 pub const INITIAL_MEMBERS: usize = 420;
 /// Time over which the assumed number of daemons halves towards the observed one.
-const HALVING: Duration = Duration::from_secs(3);
+const HALVING: Duration = Duration::from_millis(6_000);
 /// Time worth of rate that may be saved up.
 const BURST: Duration = Duration::from_secs(1);
 /// Longest wait for a permit.
@@ -127,6 +128,21 @@
         state.members.observed = live.max(1) as f64;
     }
 
+    /// Tells that the number of live daemons is no longer rising.
+    pub fn settle(&self, live: usize) {
+        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let members = live.max(1) as f64;
+        state.members = Members { assumed: members, observed: members, at: Instant::now() };
+    }
+
+    /// Writes per second that this daemon may send now.
+    #[must_use]
+    pub fn writes_per_s(&self) -> f64 {
+        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let divisor = state.members.divisor(Instant::now());
+        state.writes.fleet_per_s / divisor
+    }
+
     /// Number of calls refused so far.
     #[must_use]
     pub fn limited(&self) -> u64 {
