--- a/components/admin/src/handler/probe.rs
+++ b/components/admin/src/handler/probe.rs
@@ -1,6 +1,10 @@
 //! Health and metrics, which every daemon serves.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use filbertsail_errors::Verdict;
 use filbertsail_http::{
@@ -11,7 +15,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
-use crate::{Health, answer};
+use crate::{Health, answer, fleet::Level};
 
 /// Handler of a daemon without administration API.
 #[derive(Clone, Debug)]
@@ -20,6 +24,8 @@
     tokens: Arc<Table>,
     metrics: Registry,
     ready: Gauge<f64>,
+    /// Gauges of the health's values; each is created once.
+    gauges: Arc<Mutex<BTreeMap<&'static str, Gauge<f64>>>>,
 }
 
 impl<H: Health> Probe<H> {
@@ -27,7 +33,7 @@
     #[must_use]
     pub fn new(health: H, tokens: Arc<Table>, metrics: Registry) -> Self {
         let ready = metrics.gauge("ready", "1 if the daemon admits work, else 0");
-        Self { health, tokens, metrics, ready }
+        Self { health, tokens, metrics, ready, gauges: Arc::default() }
     }
 
     /// Answer to `/healthz`, `/readyz` or `/metrics`; `None` for any other path.
@@ -58,11 +64,19 @@
         }
     }
 
+    fn gauge(&self, name: &'static str, help: &'static str) -> Gauge<f64> {
+        let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        gauges.entry(name).or_insert_with(|| self.metrics.gauge(name, help)).clone()
+    }
+
     fn metrics(&self, headers: &HeaderMap) -> Response<Body> {
         if let Err(denied) = self.tokens.require(headers, &[Role::Operator, Role::Reader]) {
             return answer::denied(denied);
         }
         self.ready.record(f64::from(u8::from(self.health.unready().is_none())), &[]);
+        for Level { name, help, value } in self.health.levels() {
+            self.gauge(name, help).record(value, &[]);
+        }
         match self.metrics.render() {
             Ok(text) => typed(StatusCode::OK, metrics::CONTENT_TYPE, text),
             Err(error) => answer::fault(
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod handler;
 pub mod meter;
 
-pub use fleet::{Fleet, Health, Refused};
+pub use fleet::{Fleet, Health, Level, Refused, View};
 pub use handler::{Handler, probe::Probe};
 pub use meter::Metered;
--- a/components/admin/tests/tokens.rs
+++ b/components/admin/tests/tokens.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use filbertsail_admin::{Fleet, Handler, Health, Metered, Refused};
+use filbertsail_admin::{Fleet, Handler, Health, Level, Metered, Refused, View};
 use filbertsail_api::admin::{Answer, Applied, Apply, Drain, Drained, Head, Question, Status};
 use filbertsail_http::{
     Body,
@@ -35,6 +35,10 @@
     fn unready(&self) -> Option<String> {
         Some("draining".to_owned())
     }
+
+    fn levels(&self) -> Vec<Level> {
+        View { config_version: 7, known: 3, live: 2, table_reachable: true }.levels()
+    }
 }
 
 impl Fleet for Counting {
@@ -152,6 +156,9 @@
     let (_, text) = call(address, ("GET", "/metrics", ""), Some("reader-token-000001")).await;
     for line in [
         "filbertsail_ready 0",
+        "filbertsail_config_version 7",
+        "filbertsail_daemons_live 2",
+        "filbertsail_table_reachable 1",
         "filbertsail_requests_total{method=\"GET\",port=\"admin\",status=\"200\"} 1",
         "filbertsail_requests_total{method=\"other\",port=\"admin\",status=\"401\"} 1",
         "filbertsail_requests_in_flight{port=\"admin\"} 1",
--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use eyre::{WrapErr, ensure};
-use filbertsail_admin::{Health, Metered, Probe};
+use filbertsail_admin::{Health, Level, Metered, Probe, View};
 use filbertsail_clock::Boot;
 use filbertsail_cluster::{agent, lease, member};
 use filbertsail_config::settings::Settings;
@@ -62,11 +62,23 @@
 }
 
 #[derive(Clone)]
-struct Readiness(watch::Receiver<bool>);
+struct Readiness(agent::Handle<Table>);
 
 impl Health for Readiness {
     fn unready(&self) -> Option<String> {
-        (!*self.0.borrow()).then(|| "no confirmed configuration, or stopping".to_owned())
+        let ready = *self.0.ready().borrow();
+        (!ready).then(|| "no confirmed configuration, or stopping".to_owned())
+    }
+
+    fn levels(&self) -> Vec<Level> {
+        let members = self.0.members().borrow().clone();
+        let view = View {
+            config_version: self.0.config().borrow().as_ref().map_or(0, |it| it.version),
+            known: members.len(),
+            live: members.iter().filter(|member| member.live).count(),
+            table_reachable: self.0.table_reachable(),
+        };
+        view.levels()
     }
 }
 
@@ -135,7 +147,7 @@
     let listeners = CancellationToken::new();
     let handler = Peers { trainers, agent: agent.clone() };
     let peers = tokio::spawn(link::server::serve(peers, key, handler, listeners.clone()));
-    let probe = Probe::new(Readiness(agent.ready()), Arc::new(tokens), metrics.clone());
+    let probe = Probe::new(Readiness(agent.clone()), Arc::new(tokens), metrics.clone());
     let probe = Metered::new(probe, "admin", &metrics);
     let limits = server::Limits::default();
     let admin = tokio::spawn(server::serve_with(admin, acceptor, limits, probe, listeners.clone()));
--- a/components/gateway/src/fleet/mod.rs
+++ b/components/gateway/src/fleet/mod.rs
@@ -9,7 +9,7 @@
     admin::{Answer, Applied, Apply, Daemon, Drain, Drained, Head, Holder, Question, Role, Status},
     table::Scan,
 };
-use filbertsail_admin::{Fleet as Port, Health, Refused};
+use filbertsail_admin::{Fleet as Port, Health, Level, Refused, View};
 use filbertsail_api as api;
 use filbertsail_cluster::{config::apply::Error as NotApplied, member::State};
 use filbertsail_platform::table::{Error, Table as _};
@@ -51,6 +51,17 @@
     fn unready(&self) -> Option<String> {
         self.gate.unready().map(str::to_owned)
     }
+
+    fn levels(&self) -> Vec<Level> {
+        let members = self.agent.members().borrow().clone();
+        let view = View {
+            config_version: self.agent.config().borrow().as_ref().map_or(0, |it| it.version),
+            known: members.len(),
+            live: members.iter().filter(|member| member.live).count(),
+            table_reachable: self.agent.table_reachable(),
+        };
+        view.levels()
+    }
 }
 
 impl Port for Fleet {
