--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -7,6 +7,12 @@
 /// Load, fault scenarios and checks of the promises.
 #[derive(Debug, FromArgs)]
 pub struct Args {
+    /// file for the log of all daemons; none is written if absent
+    #[argh(option)]
+    pub log: Option<PathBuf>,
+    /// least level of the log
+    #[argh(option, default = "String::from(\"info\")")]
+    pub level: String,
     /// what to do
     #[argh(subcommand)]
     pub command: Command,
@@ -69,6 +75,10 @@
     /// controllers
     #[argh(option, default = "3")]
     pub controllers: usize,
+    /// seconds between readiness and the load, in which new daemons raise their share of the
+    /// table's rate
+    #[argh(option, default = "10")]
+    pub warm: u64,
     /// file for the result as JSON
     #[argh(option)]
     pub json: Option<PathBuf>,
--- a/components/bench/src/cmd/run.rs
+++ b/components/bench/src/cmd/run.rs
@@ -41,6 +41,8 @@
             gateways: args.gateways,
             controllers: args.controllers,
             publish: Duration::from_secs(4),
+            drain: Duration::from_secs(30),
+            warm: Duration::from_secs(args.warm),
             broken,
         })
         .await?;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -10,6 +10,9 @@
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
     let args: cli::Args = argh::from_env();
+    if let Some(file) = &args.log {
+        filbertsail_telemetry::logs::start(&args.level, Some(file))?;
+    }
     match args.command {
         Command::List(_) => Ok(cmd::list::run()),
         Command::Demo(demo) => cmd::demo::run(demo).await,
