--- a/components/config/src/check/inventory.rs
+++ b/components/config/src/check/inventory.rs
@@ -148,7 +148,8 @@
         let name = section.required(report, "name", "expected a name", kind::name);
         let expected = "expected model or application";
         let kind = section.required(report, "kind", expected, kind::one_of(KINDS));
-        for key in ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams"] {
+        for key in ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams", "http2"]
+        {
             section.optional(report, key, kind::boolean);
         }
         service_limits(report, &mut section);
@@ -162,11 +163,13 @@
 }
 
 fn service_limits(report: &mut Report<'_>, section: &mut Section<'_>) {
-    let paths = section.optional(report, "idempotent_paths", kind::list(kind::text));
-    for path in paths.into_iter().flat_map(|paths| paths.value) {
-        if !path.value.starts_with('/') {
-            let remedy = "expected a path that starts with \"/\"";
-            report.add(&path.key, &path.span, "is not a path", remedy);
+    for key in ["idempotent_paths", "unrepeatable_paths"] {
+        let paths = section.optional(report, key, kind::list(kind::text));
+        for path in paths.into_iter().flat_map(|paths| paths.value) {
+            if !path.value.starts_with('/') {
+                let remedy = "expected a path that starts with \"/\"";
+                report.add(&path.key, &path.span, "is not a path", remedy);
+            }
         }
     }
     section.optional(report, "max_concurrency", kind::whole(1..=SMALL));
--- a/components/gateway/src/backend/mod.rs
+++ b/components/gateway/src/backend/mod.rs
@@ -17,6 +17,7 @@
 use filbertsail_http::Body;
 use http::{HeaderMap, Method, Request, Uri, response::Parts};
 use hyper::body::Incoming;
+use tokio::sync::watch;
 
 pub use failure::{Failure, Kind};
 
@@ -43,6 +44,7 @@
     /// IP address and port.
     pub address: SocketAddr,
     link: Link,
+    live: watch::Sender<bool>,
 }
 
 #[derive(Debug)]
@@ -71,7 +73,20 @@
         } else {
             Link::H1(h1::Pool::new(address))
         };
-        Self { name: name.to_owned(), address, link }
+        Self { name: name.to_owned(), address, link, live: watch::Sender::new(true) }
+    }
+
+    /// Notes whether the server answers.
+    pub fn set_live(&self, live: bool) {
+        self.live.send_if_modified(|old| std::mem::replace(old, live) != live);
+    }
+
+    /// Ends when the server no longer answers, as one that is paused and keeps its sockets open.
+    pub async fn lost(&self) {
+        let mut live = self.live.subscribe();
+        if live.wait_for(|live| !live).await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Sends `call` and returns the head of the answer.
--- a/components/gateway/src/callers/mod.rs
+++ b/components/gateway/src/callers/mod.rs
@@ -43,6 +43,7 @@
 impl Handler for Callers {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         let id = self.context.request_id();
+        let started = self.context.now();
         let mut response = match self.route(request, &id).await {
             Ok(response) => response,
             Err(fault) => fault.response(Some(&id)),
@@ -50,6 +51,7 @@
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
+        self.context.metrics.answered(&response, self.context.now().since(started));
         response
     }
 }
--- a/components/gateway/src/context/mod.rs
+++ b/components/gateway/src/context/mod.rs
@@ -12,7 +12,7 @@
 use filbertsail_clock as clock;
 use tokio_util::task::TaskTracker;
 
-use crate::router::Router;
+use crate::{metrics::Metrics, router::Router};
 
 /// What all requests of a gateway share, cheap to clone.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     pub router: Router,
     /// Work that outlives its caller; a graceful stop waits for it.
     pub tasks: TaskTracker,
+    /// Metrics of the request path.
+    pub metrics: Metrics,
     identity: Arc<str>,
     counter: Arc<AtomicU64>,
 }
@@ -28,10 +30,11 @@
 impl Context {
     /// Context of the gateway `name` in its `incarnation`.
     #[must_use]
-    pub fn new(name: &str, incarnation: u64, router: Router) -> Self {
+    pub fn new(name: &str, incarnation: u64, router: Router, metrics: Metrics) -> Self {
         Self {
             router,
             tasks: TaskTracker::new(),
+            metrics,
             identity: format!("{name}-{incarnation:x}").into(),
             counter: Arc::default(),
         }
--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -13,7 +13,7 @@
 use filbertsail_clock::Boot;
 use filbertsail_cluster::{agent, subset};
 use filbertsail_config as config;
-use filbertsail_http::{server, token};
+use filbertsail_http::{server, tls, token};
 use filbertsail_platform::{budget, object, table, vm};
 use filbertsail_rounds::reach;
 use filbertsail_routing::policy::Policy;
@@ -31,7 +31,9 @@
     context::Context,
     fleet::Fleet,
     gate::Gate,
-    marks, monitor,
+    marks,
+    metrics::Metrics,
+    monitor,
     peer::Peers,
     ports::{Agent, Claims, Members, Rounds, Table},
     router::{Router, Setup},
@@ -71,14 +73,17 @@
         ..agent::Settings::default()
     };
     let agent = agent::start(identity, agent_settings, table.clone(), agent_stop.clone());
+    let registry = Registry::new(&settings.name)?;
+    let metrics = Metrics::new(&registry);
     let router = Router::start(Setup {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         policy,
         clock: Boot,
         seed: incarnation,
+        metrics: metrics.clone(),
     });
-    let context = Context::new(&settings.name, incarnation, router.clone());
+    let context = Context::new(&settings.name, incarnation, router.clone(), metrics);
     let gate = Gate::new(agent.ready());
     let members = Members(agent.clone());
     let claims: Claims = claims::Claims::start(claims::Setup {
@@ -104,7 +109,9 @@
     let limits = server::Limits::default();
     let (callers, admin) = (callers_port.local_addr()?, admin_port.local_addr()?);
     let mut servers = JoinSet::new();
-    servers.spawn(server::serve(callers_port, limits, handler, listeners.clone()));
+    let acceptor = acceptor(settings)?;
+    let stop = listeners.clone();
+    servers.spawn(server::serve_with(callers_port, acceptor.clone(), limits, handler, stop));
     let handler = Peers { context: context.clone(), gate: gate.clone(), agent: agent.clone() };
     servers.spawn(link::server::serve(peers_port, key, handler, listeners.clone()));
     let fleet = Fleet {
@@ -116,7 +123,7 @@
         gate: gate.clone(),
         commands: Arc::default(),
     };
-    let handler = admin::Handler::new(fleet, tokens, Registry::new(&settings.name)?);
+    let handler = admin::Handler::new(fleet, tokens, registry);
     let admin_stop = CancellationToken::new();
     let admin_server = tokio::spawn(server::serve(admin_port, limits, handler, admin_stop.clone()));
     let mut background = JoinSet::new();
@@ -143,6 +150,15 @@
     })
 }
 
+/// TLS for the callers' and admin ports, if the settings name a certificate and a key.
+fn acceptor(settings: &Settings) -> eyre::Result<Option<tls::Acceptor>> {
+    match (&settings.security.tls_cert_file, &settings.security.tls_key_file) {
+        (Some(cert), Some(key)) => Ok(Some(tls::Acceptor::load(cert, key)?)),
+        (None, None) => Ok(None),
+        _ => Err(eyre!("tls_cert_file and tls_key_file must be set together")),
+    }
+}
+
 fn table_client(settings: &Settings) -> Table {
     let rates = budget::Rates {
         writes_per_s: settings.platform.table_writes_per_s,
--- a/components/gateway/src/generate/mod.rs
+++ b/components/gateway/src/generate/mod.rs
@@ -171,9 +171,14 @@
 ) -> Result<String, Failure> {
     let left: Duration = context.left(plan.deadline);
     let sink = plan.streams.then_some(sink);
-    time::timeout(left, attempt::run(context, plan, grant, progress, sink))
-        .await
-        .unwrap_or_else(|_| Err(Failure::sent(Kind::TimedOut, "deadline passed")))
+    let attempt = time::timeout(left, attempt::run(context, plan, grant, progress, sink));
+    tokio::select! {
+        result = attempt => result
+            .unwrap_or_else(|_| Err(Failure::sent(Kind::TimedOut, "deadline passed"))),
+        () = grant.server.lost() => {
+            Err(Failure::sent(Kind::TimedOut, "the engine no longer answers"))
+        }
+    }
 }
 
 /// What a failure says about the worker.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod generate;
 pub mod marks;
+pub mod metrics;
 pub mod monitor;
 pub mod peer;
 pub mod ports;
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -66,21 +66,21 @@
             Kind::Model => "/v1/load",
             Kind::Application => "/load",
         };
-        let load: Option<Load> = get(&target.server, path.to_owned()).await;
+        let load: Result<Load, bool> = get(&target.server, path.to_owned()).await;
         match load {
-            Some(load) => {
+            Ok(load) => {
                 if incarnation.replace(load.incarnation) != Some(load.incarnation) {
                     // A restarted engine numbers its events from the start.
                     last_event = 0;
                 }
                 router.report(&target.name, report(&load));
             }
-            None => router.contact(&target.name, false),
+            Err(reached) => router.contact(&target.name, reached),
         }
         if target.service.kind == Kind::Model {
             let path = format!("/v1/cache-events?after={last_event}");
-            let events: Option<CacheEvents> = get(&target.server, path).await;
-            if let Some(events) = events {
+            let events: Result<CacheEvents, bool> = get(&target.server, path).await;
+            if let Ok(events) = events {
                 last_event = events.next;
                 forward_events(&router, &target.name, events);
             }
@@ -112,8 +112,8 @@
     router.cache(worker, changes.collect(), events.next);
 }
 
-/// Body of a successful `GET`; `None` if there is none in time.
-async fn get<T: DeserializeOwned>(server: &Server, path: String) -> Option<T> {
+/// Body of a successful `GET`; otherwise whether the server answered anything.
+async fn get<T: DeserializeOwned>(server: &Server, path: String) -> Result<T, bool> {
     let call = Call {
         method: Method::GET,
         path,
@@ -122,16 +122,16 @@
         idempotent: true,
     };
     let exchange = async {
-        let answer = server.send(&call).await.ok()?;
-        let (head, whole) = body::read(answer).await.ok()?;
+        let answer = server.send(&call).await.map_err(|_| false)?;
+        let (head, whole) = body::read(answer).await.map_err(|_| true)?;
         match whole {
             body::Whole::Buffered(bytes) if head.status == StatusCode::OK => {
-                serde_json::from_slice(&bytes).ok()
+                serde_json::from_slice(&bytes).map_err(|_| true)
             }
-            _ => None,
+            _ => Err(true),
         }
     };
-    time::timeout(REPORT_TIMEOUT, exchange).await.ok().flatten()
+    time::timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(false))
 }
 
 /// Reads the VM list; keeps the last one while it is down.
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -74,6 +74,11 @@
         let (sink, mut items) = mpsc::channel(QUEUED_TOKENS);
         let forward = async {
             while let Some(item) = items.recv().await {
+                match &item {
+                    Item::Token(_) => {}
+                    Item::Whole(_) => self.context.metrics.sample("whole"),
+                    Item::Fault(_) => self.context.metrics.sample("fault"),
+                }
                 if replies.send(reply(item)).await.is_err() {
                     return;
                 }
--- a/components/gateway/src/router/mod.rs
+++ b/components/gateway/src/router/mod.rs
@@ -20,7 +20,7 @@
 
 pub use admission::{Admission, Grant, Refusal};
 
-use crate::backend::Server;
+use crate::{backend::Server, metrics::Metrics};
 
 /// Services by name, as the inventory in force has them.
 pub type Catalog = HashMap<String, Arc<Entry>>;
@@ -92,6 +92,8 @@
     pub clock: C,
     /// Seed of the random choices.
     pub seed: u64,
+    /// Metrics of the request path.
+    pub metrics: Metrics,
 }
 
 impl Router {
--- a/components/gateway/src/router/report.rs
+++ b/components/gateway/src/router/report.rs
@@ -20,6 +20,8 @@
         let Some(key) = self.fleet.worker_key(worker) else { return };
         if let Some(worker) = self.fleet.worker_mut(key) {
             worker.unreachable = if reached { 0 } else { worker.unreachable.saturating_add(1) };
+            let live = worker.is_live();
+            self.note_live(key, live);
         }
     }
 
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -100,6 +100,7 @@
             Message::Report { worker, report } => {
                 if let Some(key) = self.fleet.worker_key(&worker) {
                     self.fleet.reported(key, report);
+                    self.note_live(key, true);
                     self.pump_of(key);
                 }
             }
@@ -118,6 +119,12 @@
         }
     }
 
+    pub(super) fn note_live(&self, key: Key<Worker>, live: bool) {
+        if let Some(server) = self.servers.get(&key) {
+            server.set_live(live);
+        }
+    }
+
     fn admit(&mut self, admission: Admission, reply: Reply) {
         let Some(key) = self.fleet.service_key(&admission.service) else {
             let _ = reply.send(Err(Refusal::UnknownService));
@@ -261,6 +268,9 @@
         let keys: Vec<_> = self.queues.keys().copied().collect();
         for key in keys {
             let Some(queue) = self.queues.get_mut(&key) else { continue };
+            if let Some(service) = self.fleet.service(key) {
+                self.setup.metrics.waiting(&service.entry.name, queue.len());
+            }
             if queue.is_empty() {
                 continue;
             }
