--- a/components/config/src/check/inventory.rs
+++ b/components/config/src/check/inventory.rs
@@ -10,6 +10,8 @@
     section::{Found, Section},
 };
 
+const FLAGS: [&str; 5] =
+    ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams", "http2"];
 const KINDS: &[&str] = &["model", "application"];
 const UNCONFIRMED: &[&str] = &["stop", "serve"];
 /// Range of the whole numbers that the types hold in 32 bits.
@@ -148,8 +150,7 @@
         let name = section.required(report, "name", "expected a name", kind::name);
         let expected = "expected model or application";
         let kind = section.required(report, "kind", expected, kind::one_of(KINDS));
-        for key in ["reports_load", "checks_fence", "echoes_request_id", "resumes_streams", "http2"]
-        {
+        for key in FLAGS {
             section.optional(report, key, kind::boolean);
         }
         service_limits(report, &mut section);
--- a/components/config/tests/check.rs
+++ b/components/config/tests/check.rs
@@ -52,4 +52,27 @@
     assert_eq!(faults[0].key, "listen.callers");
     let faults = check::settings("controller", controller, Some(Role::Gateway)).expect_err("port");
     assert_eq!((faults.len(), faults[0].key.as_str()), (1, "listen.callers"));
+    let example = folder("../../examples/controller.toml");
+    assert!(check::load_settings(&example, Role::Controller).is_ok());
+    let error = check::load_settings(&example, Role::Gateway).expect_err("port");
+    assert!(error.to_string().contains("controller.toml:6: listen.callers"), "{error}");
+    let error = check::load_settings(&folder("none.toml"), Role::Gateway).expect_err("no file");
+    assert!(error.to_string().starts_with("cannot read "), "{error}");
+}
+
+/// Guards against a field that the types gained and the check refuses as unknown.
+#[test]
+fn can_accept_every_field_of_the_types() {
+    let inventory = include_str!("../../../examples/vaahto.toml");
+    let inventory = check::inventory("vaahto", inventory).expect("example");
+    let text = toml::to_string(&inventory).expect("TOML");
+    assert_eq!(check::inventory("all fields", &text), Ok(inventory));
+
+    let settings = include_str!("../../../examples/gateway.toml");
+    let mut settings = check::settings("gateway", settings, None).expect("example");
+    settings.security.tls_cert_file = Some("cert.pem".into());
+    settings.security.tls_key_file = Some("key.pem".into());
+    settings.log.file = Some("gateway.log".into());
+    let text = toml::to_string(&settings).expect("TOML");
+    assert_eq!(check::settings("all fields", &text, Some(Role::Gateway)), Ok(settings));
 }
--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -49,6 +49,12 @@
 ) -> eyre::Result<Parts> {
     let key = read_key(&settings.security.cluster_key_file)?;
     let tokens = Arc::new(token::Table::load(&settings.security.tokens_file)?);
+    let security = &settings.security;
+    let acceptor = tls::Acceptor::from_pair(
+        security.tls_cert_file.as_deref(),
+        security.tls_key_file.as_deref(),
+    )?;
+    let metrics = Registry::new(&settings.name)?;
     let callers_address =
         settings.listen.callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
     let callers_port = bind(callers_address).await?;
@@ -73,17 +79,16 @@
         ..agent::Settings::default()
     };
     let agent = agent::start(identity, agent_settings, table.clone(), agent_stop.clone());
-    let registry = Registry::new(&settings.name)?;
-    let metrics = Metrics::new(&registry);
+    let work = Metrics::new(&metrics);
     let router = Router::start(Setup {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         policy,
         clock: Boot,
         seed: incarnation,
-        metrics: metrics.clone(),
+        metrics: work.clone(),
     });
-    let context = Context::new(&settings.name, incarnation, router.clone(), metrics);
+    let context = Context::new(&settings.name, incarnation, router.clone(), work);
     let gate = Gate::new(agent.ready());
     let members = Members(agent.clone());
     let claims: Claims = claims::Claims::start(claims::Setup {
@@ -109,7 +114,7 @@
     let limits = server::Limits::default();
     let (callers, admin) = (callers_port.local_addr()?, admin_port.local_addr()?);
     let mut servers = JoinSet::new();
-    let acceptor = acceptor(settings)?;
+    let handler = admin::Metered::new(handler, "callers", &metrics);
     let stop = listeners.clone();
     servers.spawn(server::serve_with(callers_port, acceptor.clone(), limits, handler, stop));
     let handler = Peers { context: context.clone(), gate: gate.clone(), agent: agent.clone() };
@@ -123,9 +128,11 @@
         gate: gate.clone(),
         commands: Arc::default(),
     };
-    let handler = admin::Handler::new(fleet, tokens, registry);
+    let handler = admin::Handler::new(fleet, tokens, metrics.clone());
+    let handler = admin::Metered::new(handler, "admin", &metrics);
     let admin_stop = CancellationToken::new();
-    let admin_server = tokio::spawn(server::serve(admin_port, limits, handler, admin_stop.clone()));
+    let admin_server =
+        tokio::spawn(server::serve_with(admin_port, acceptor, limits, handler, admin_stop.clone()));
     let mut background = JoinSet::new();
     background.spawn(follow(agent.config(), router.clone(), gate.clone()));
     background.spawn(monitor::workers(router.clone()));
@@ -150,15 +157,6 @@
     })
 }
 
-/// TLS for the callers' and admin ports, if the settings name a certificate and a key.
-fn acceptor(settings: &Settings) -> eyre::Result<Option<tls::Acceptor>> {
-    match (&settings.security.tls_cert_file, &settings.security.tls_key_file) {
-        (Some(cert), Some(key)) => Ok(Some(tls::Acceptor::load(cert, key)?)),
-        (None, None) => Ok(None),
-        _ => Err(eyre!("tls_cert_file and tls_key_file must be set together")),
-    }
-}
-
 fn table_client(settings: &Settings) -> Table {
     let rates = budget::Rates {
         writes_per_s: settings.platform.table_writes_per_s,
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -25,6 +25,8 @@
     Whole,
     /// Ends the connection after this many tokens.
     Cut(u32),
+    /// The same, for the first stream of all engines of the test only.
+    CutFirst(u32),
     /// Sends token 1 twice.
     Repeat,
     /// Sends another request's token.
@@ -39,11 +41,24 @@
 
 async fn engine(act: Act) -> (Scripted, Seen) {
     let seen = Seen::default();
-    let log = seen.clone();
-    let server = Scripted::start(move |_, mut conn| {
+    (engine_with(act, seen.clone()).await, seen)
+}
+
+/// Load report of an idle engine.
+const LOAD: &str = r#"{"worker":"w","incarnation":1,"running":0,"queued":0,"capacity":8,
+    "kv_used_permille":0,"weight_version":7,"leaving":false,"age_ms":0}"#;
+
+/// Engine that notes what it is asked in `seen`, which others may share.
+async fn engine_with(act: Act, seen: Seen) -> Scripted {
+    let log = seen;
+    Scripted::start(move |_, mut conn| {
         let log = log.clone();
         async move {
             while let Some(request) = conn.request().await {
+                if request.head.starts_with("GET ") {
+                    conn.answer(&request.id, LOAD).await;
+                    continue;
+                }
                 if request.head.starts_with("POST /v1/orders") {
                     conn.answer(&request.id, r#"{"accepted":true,"weight_version":9,"epoch":4}"#)
                         .await;
@@ -51,7 +66,16 @@
                 }
                 let completion: Completion =
                     serde_json::from_slice(&request.body).expect("completion");
-                log.lock().expect("lock").push(completion.clone());
+                let first = {
+                    let mut log = log.lock().expect("lock");
+                    log.push(completion.clone());
+                    log.len() == 1
+                };
+                let act = match act {
+                    Act::CutFirst(after) if first => Act::Cut(after),
+                    Act::CutFirst(_) => Act::Whole,
+                    act => act,
+                };
                 if let Act::Refuse = act {
                     conn.write("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n").await;
                     continue;
@@ -63,8 +87,7 @@
             }
         }
     })
-    .await;
-    (server, seen)
+    .await
 }
 
 fn stream(act: Act, completion: &Completion) -> String {
@@ -143,17 +166,17 @@
 /// Guards against tokens lost or repeated where a broken stream continues at another worker.
 #[tokio::test]
 async fn can_resume_a_broken_stream_from_its_last_token() {
-    let (broken, first) = engine(Act::Cut(3)).await;
-    let (up, second) = engine(Act::Whole).await;
-    let gateway = gateway(OPTIONS, &[&broken, &up]).await;
-    for _ in 0..8 {
-        let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
-        assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
-    }
-    assert!(!first.lock().expect("lock").is_empty(), "the broken engine was never chosen");
-    let resumed = second.lock().expect("lock");
-    let resume = resumed.iter().find_map(|it| it.resume_from.clone()).expect("resumed");
+    let seen = Seen::default();
+    let one = engine_with(Act::CutFirst(3), seen.clone()).await;
+    let two = engine_with(Act::CutFirst(3), seen.clone()).await;
+    let gateway = gateway(OPTIONS, &[&one, &two]).await;
+    let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
+    assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
+    let seen = seen.lock().expect("lock");
+    assert_eq!((seen.len(), one.served(), two.served()), (2, 1, 1));
+    let resume = seen[1].resume_from.as_ref().expect("resumed");
     assert_eq!((resume.tokens, &*resume.text), (3, "t0 t1 t2 "));
+    assert_eq!(resume.labels, [Label { version: 7, from: 0, to: 3 }]);
 }
 
 /// Guards against a short success where the service cannot resume.
@@ -172,14 +195,15 @@
 /// Guards against a whole answer that fails although nothing of it was shown yet.
 #[tokio::test]
 async fn can_start_an_unseen_answer_again() {
-    let (broken, _) = engine(Act::Cut(3)).await;
-    let (up, _) = engine(Act::Whole).await;
-    let gateway = gateway(NO_RESUME, &[&broken, &up]).await;
-    for _ in 0..8 {
-        let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
-        let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
-        assert_eq!(body["choices"][0]["text"], WHOLE, "{body}");
-    }
+    let seen = Seen::default();
+    let one = engine_with(Act::CutFirst(3), seen.clone()).await;
+    let two = engine_with(Act::CutFirst(3), seen.clone()).await;
+    let gateway = gateway(NO_RESUME, &[&one, &two]).await;
+    let response = gateway.call(Method::POST, "/v1/completions", ASK).await;
+    let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
+    assert_eq!(body["choices"][0]["text"], WHOLE, "{body}");
+    assert_eq!((one.served(), two.served()), (1, 1));
+    assert_eq!(seen.lock().expect("lock")[1].resume_from, None);
 }
 
 /// Guards against wrong streams that pass for answers.
@@ -268,3 +292,41 @@
     assert_eq!(workers.workers.len(), 1);
     assert!(workers.workers[0].live && !workers.workers[0].leaving);
 }
+
+/// Guards against a stream that hangs at a paused engine, which keeps its sockets open and answers
+/// nothing.
+#[tokio::test]
+async fn can_leave_an_engine_that_no_longer_answers() {
+    let (started, mut has_started) = tokio::sync::watch::channel(false);
+    let paused = Scripted::start(move |_, mut conn| {
+        let started = started.clone();
+        async move {
+            while let Some(request) = conn.request().await {
+                if request.head.starts_with("GET ") {
+                    continue;
+                }
+                let completion = serde_json::from_slice(&request.body).expect("completion");
+                conn.write(&stream(Act::Cut(3), &completion)).await;
+                started.send_replace(true);
+            }
+        }
+    })
+    .await;
+    let (up, seen) = engine(Act::Whole).await;
+    let gateway = gateway("resumes_streams = true", &[&paused]).await;
+    let callers = gateway.handle.callers;
+    let call = tokio::spawn(async move {
+        let request = http::Request::post(format!("http://{callers}/v1/completions"));
+        let request = request.body(filbertsail_http::Body::full(ASK_STREAM)).expect("request");
+        filbertsail_http::client::Client::default().send(request, common::PATIENCE).await
+    });
+    // The only engine takes the request before the other one joins.
+    has_started.wait_for(|started| *started).await.expect("open");
+    let both = inventory("model", "resumes_streams = true", &[paused.address, up.address]);
+    gateway.platform.configure(&both).await;
+    let response = call.await.expect("task").expect("whole stream");
+    assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
+    let seen = seen.lock().expect("lock");
+    let resume = seen[0].resume_from.as_ref().expect("resumed");
+    assert_eq!((seen.len(), resume.tokens), (1, 3));
+}
