--- /dev/null
+++ b/components/gateway/src/metrics/mod.rs
@@ -0,0 +1,44 @@
+//! Metrics of the request path.
+
+use filbertsail_errors::VERDICT_HEADER;
+use filbertsail_telemetry::metrics::{KeyValue, Registry};
+use http::Response;
+use opentelemetry::metrics::{Counter, Gauge};
+
+/// Metrics of the request path, cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    verdicts: Counter<u64>,
+    samples: Counter<u64>,
+    waiting: Gauge<f64>,
+}
+
+impl Metrics {
+    /// Metrics in `registry`.
+    #[must_use]
+    pub fn new(registry: &Registry) -> Self {
+        Self {
+            verdicts: registry.counter("verdicts", "Failed requests of callers, by verdict."),
+            samples: registry.counter("samples", "Dispatched samples, by outcome."),
+            waiting: registry.gauge("waiting", "Requests that wait for a worker, by service."),
+        }
+    }
+
+    /// Counts the verdict of an answer that carries one.
+    pub fn answered<B>(&self, response: &Response<B>) {
+        let verdict = response.headers().get(VERDICT_HEADER).and_then(|it| it.to_str().ok());
+        if let Some(verdict) = verdict {
+            self.verdicts.add(1, &[KeyValue::new("verdict", verdict.to_owned())]);
+        }
+    }
+
+    /// Notes how many requests wait for a worker of `service`.
+    pub fn waiting(&self, service: &str, count: usize) {
+        self.waiting.record(count as f64, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Notes the end of a sample.
+    pub fn sample(&self, outcome: &'static str) {
+        self.samples.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
