--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -58,7 +58,7 @@
 
 enum Event {
     Latest(Option<u64>),
-    Surveyed(Option<Workers>),
+    Surveyed(Result<Workers, String>),
     Answered(String, Result<Outcome, Failure>),
 }
 
@@ -172,8 +172,9 @@
         self.tasks.spawn(async move {
             let reply = gateways.ask(Survey { service }.into(), CALL_TIMEOUT).await;
             Event::Surveyed(match reply {
-                Ok(Frame::Workers(workers)) => Some(workers),
-                _ => None,
+                Ok(Frame::Workers(workers)) => Ok(workers),
+                Ok(_) => Err("unexpected reply".to_owned()),
+                Err(error) => Err(error.to_string()),
             })
         });
     }
@@ -249,7 +250,10 @@
             }
             Event::Surveyed(workers) => {
                 self.surveying = false;
-                self.report(workers.unwrap_or_default());
+                match workers {
+                    Ok(workers) => self.report(workers),
+                    Err(reason) => Line::new("survey_failed").with("reason", reason).warn(),
+                }
             }
             Event::Answered(worker, answer) => self.answered(&worker, answer),
         }
