--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -86,7 +86,8 @@
         if !(self.is_held() || self.is_detached()) {
             return pending.answer(not_holder());
         }
-        if !self.loaded {
+        let stalled = self.reach == Reach::Down && !self.ports.policy.delivers_without_table();
+        if !self.loaded || stalled {
             return self.wait(pending);
         }
         let step = pending.fetch.step;
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -162,7 +162,7 @@
     /// Whether deliveries may go on by cursor: the table does not answer, so that nobody can have
     /// been seen to take over.
     pub(super) fn is_detached(&self) -> bool {
-        self.reach == Reach::Down
+        self.reach == Reach::Down && self.ports.policy.delivers_without_table()
     }
 
     /// Spawns background work whose result comes back as an event.
--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -4,19 +4,25 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use filbertsail_api::{fault::Verdict, trainer::Batch};
+use filbertsail_api::{
+    fault::Verdict,
+    trainer::{Batch, Round},
+};
+use filbertsail_config::inventory::Inventory;
 use filbertsail_platform::fake::Fault;
 use filbertsail_rollout::policy::Policy;
 use filbertsail_rounds::{
     client::{Client, Error, Fetched, State},
     row,
 };
+use filbertsail_standin::{network::Network, scorer, server::Place};
 use filbertsail_wire::Frame;
 use http::StatusCode;
 use support::{Fleet, TRAINER, round, trainer};
 use tokio::time::{sleep, timeout};
 
 const WAIT: Duration = Duration::from_secs(20);
+const VAAHTO: &str = include_str!("../../../examples/vaahto.toml");
 
 async fn batch(
     client: &mut Client,
@@ -205,6 +211,145 @@
     assert_eq!(again.groups, taken.groups);
 }
 
+/// Guards against a trainer that stands still once the lease has expired during an outage, against
+/// a holder that gives up a lease which nobody took, and against rows that stay unwritten.
+#[tokio::test]
+async fn can_go_on_past_the_lease_deadline() {
+    let fleet = Fleet::start().await;
+    let controller = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    for step in 1..=3 {
+        client.post(gateway, &round(step)).await.expect("post");
+    }
+    wait_for(|| fleet.engine.count() == 48).await;
+    batch(&mut client, gateway, 1, 1).await;
+    fleet.table.set_down(true);
+    let held = controller.holding.send_replace(None);
+    let two = batch(&mut client, gateway, 2, 1).await;
+    assert_eq!(batch(&mut client, gateway, 2, 1).await.groups, two.groups);
+    batch(&mut client, gateway, 3, 1).await;
+    fleet.table.set_down(false);
+    controller.holding.send_replace(held);
+    wait_for(|| fleet.table.row(&row::manifest_key(TRAINER, 3)).is_some()).await;
+    let recorded = fleet.table.row(&row::manifest_key(TRAINER, 2)).expect("recorded");
+    assert_eq!(recorded.value["digest"], two.digest);
+}
+
+/// Guards against other samples for a trainer that restarts from an earlier step.
+#[tokio::test]
+async fn can_repeat_steps_for_a_restarted_trainer() {
+    let fleet = Fleet::start().await;
+    let controller = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    let mut before = Vec::new();
+    for step in 1..=3 {
+        client.post(gateway, &round(step)).await.expect("post");
+        before.push(batch(&mut client, gateway, step, 1).await);
+        client.acknowledge(gateway, step).await.expect("acknowledge");
+    }
+    let mut restarted = trainer(State::default());
+    for step in 1..=3 {
+        assert!(!restarted.post(gateway, &round(step)).await.expect("post").created);
+        let again = batch(&mut restarted, gateway, step, 1).await;
+        assert_eq!(again, before[usize::try_from(step).expect("small") - 1]);
+    }
+}
+
+/// Guards against a delivery by cursor that is lost because the trainer only acknowledges it.
+#[tokio::test]
+async fn can_record_from_an_acknowledgement() {
+    let fleet = Fleet::start().await;
+    let first = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&first, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    client.post(gateway, &round(1)).await.expect("post");
+    wait_for(|| fleet.engine.count() == 16).await;
+    fleet.table.set_down(true);
+    let taken = batch(&mut client, gateway, 1, 1).await;
+    first.stop.cancel();
+    fleet.table.set_down(false);
+    client.acknowledge(gateway, 1).await.expect("acknowledge");
+    let second = fleet.controller("controller-2", Policy::Production).await;
+    fleet.grant(&second, 2).await;
+    wait_for(|| fleet.table.row(&row::manifest_key(TRAINER, 1)).is_some()).await;
+    let recorded = fleet.table.row(&row::manifest_key(TRAINER, 1)).expect("recorded");
+    assert_eq!(recorded.value["digest"], taken.digest);
+}
+
+/// Guards against a fetch that finds samples too old which could have been replaced before it.
+#[tokio::test]
+async fn can_replace_samples_ahead_of_need() {
+    let fleet = Fleet::start().await;
+    let controller = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    for step in 1..=3 {
+        let round = Round { staleness_bound: 1, ..round(step) };
+        client.post(gateway, &round).await.expect("post");
+    }
+    wait_for(|| fleet.engine.count() == 48).await;
+    batch(&mut client, gateway, 1, 1).await;
+    fleet.engine.version.store(3, Ordering::SeqCst);
+    batch(&mut client, gateway, 2, 2).await;
+    // At this rate the trainer will be at version 3 when it fetches step 3.
+    wait_for(|| fleet.engine.count() == 64).await;
+    let third = batch(&mut client, gateway, 3, 3).await;
+    let labels = third.groups.iter().flat_map(|group| &group.samples).flat_map(|it| &it.labels);
+    assert!(labels.clone().all(|label| label.version == 3));
+    assert_eq!(fleet.engine.count(), 64);
+}
+
+/// Guards against a scorer outage that drops samples or delivers them without a score.
+#[tokio::test]
+async fn can_wait_for_a_scorer() {
+    let fleet = Fleet::start().await;
+    let network = Network::of(&Inventory::parse(VAAHTO).expect("inventory"));
+    let place = Place { zone: "lahti-c".to_owned(), network };
+    let any = ([127, 0, 0, 1], 0).into();
+    let scorer = scorer::start(any, Duration::ZERO, place, fleet.stop.clone()).expect("scorer");
+    scorer.faults.set_down(true);
+    let controller = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    let round = Round { scorer: Some(scorer.address.to_string()), ..round(1) };
+    client.post(gateway, &round).await.expect("post");
+    wait_for(|| fleet.engine.count() == 16).await;
+    let early = client.fetch(gateway, 1, 1, Duration::from_millis(300)).await.expect("fetch");
+    assert!(matches!(early, Fetched::Progress(progress) if progress.ready == 0));
+    scorer.faults.set_down(false);
+    let delivered = batch(&mut client, gateway, 1, 1).await;
+    let mut samples = delivered.groups.iter().flat_map(|group| &group.samples);
+    assert!(samples.all(|sample| sample.score.is_some()));
+    assert_eq!(fleet.engine.count(), 16);
+}
+
+/// Guards against a cancelled round that is delivered, and against work that goes on for it.
+#[tokio::test]
+async fn can_cancel_a_round() {
+    let fleet = Fleet::start().await;
+    let slow = ("0/0".to_owned(), Duration::from_secs(60));
+    fleet.engine.slow.lock().expect("lock").extend([slow]);
+    let controller = fleet.controller("controller-1", Policy::Naive).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    client.post(gateway, &round(1)).await.expect("post");
+    wait_for(|| fleet.engine.count() == 16).await;
+    client.cancel(gateway, 1).await.expect("cancel");
+    let fetched = client.fetch(gateway, 1, 1, WAIT).await;
+    assert_eq!(status(fetched), (StatusCode::GONE, "cancelled".to_owned()));
+    assert_eq!(status(client.post(gateway, &round(1)).await).1, "cancelled");
+    client.post(gateway, &round(2)).await.expect("post");
+    batch(&mut client, gateway, 2, 1).await;
+}
+
 /// Guards against a post that is reported as not run and runs all the same.
 #[tokio::test]
 async fn can_state_the_verdict_of_a_post() {
--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -61,6 +61,8 @@
 
 /// Name of the trainer in all tests.
 pub const TRAINER: &str = "lather";
+/// Time for which leases are granted.
+const TERM: Duration = Duration::from_secs(600);
 const TOKEN: &str = "0123456789abcdef";
 
 pub fn key() -> Key {
@@ -178,7 +180,7 @@
         let writes = vec![row::write(row::lease_key(TRAINER), &value)];
         let transaction = Transaction { checks: Vec::new(), token: format!("t{epoch}"), writes };
         self.table.transact(transaction).await.expect("lease row");
-        let deadline = Boot.now().after(Duration::from_secs(600));
+        let deadline = Boot.now().after(TERM);
         controller.holding.send_replace(Some(Holding { epoch, deadline, orders_from: Boot.now() }));
     }
 }
--- a/components/rollout/src/policy/mod.rs
+++ b/components/rollout/src/policy/mod.rs
@@ -11,10 +11,12 @@
 #[display(rename_all = "snake_case")]
 #[from_str(rename_all = "snake_case")]
 pub enum Policy {
-    /// Several rounds at a time, second starts, replacement ahead of need.
+    /// Several rounds at a time, second starts, replacement ahead of need, delivery by cursor while
+    /// the table is down.
     #[default]
     Production,
-    /// One round at a time in step order, one attempt per sample, stale samples found at delivery.
+    /// One round at a time in step order, one attempt per sample, stale samples found at delivery,
+    /// no delivery while the table is down.
     Naive,
 }
 
@@ -31,6 +33,12 @@
         self == Self::Production
     }
 
+    /// Whether batches are delivered by cursor while the table is down.
+    #[must_use]
+    pub fn delivers_without_table(self) -> bool {
+        self == Self::Production
+    }
+
     /// Whether samples are replaced before a fetch finds them too old.
     #[must_use]
     pub fn replaces_ahead(self) -> bool {
