--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -19,9 +19,11 @@
 use filbertsail_wire::Frame;
 use http::StatusCode;
 use support::{Fleet, TRAINER, round, trainer};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 const WAIT: Duration = Duration::from_secs(20);
+/// Length of an outage of the table.
+const OUTAGE: Duration = Duration::from_secs(5);
 const VAAHTO: &str = include_str!("../../../examples/vaahto.toml");
 
 async fn batch(
@@ -369,3 +371,36 @@
     assert_eq!(verdict(client.post(gateway, &round(1)).await), Verdict::MayHaveRun);
     assert!(client.post(gateway, &round(1)).await.expect("repeat").samples == 16);
 }
+
+/// Guards against a trainer that stands still for as long as the table is down.
+#[tokio::test]
+async fn can_shorten_the_stall_of_an_outage() {
+    let mut stalls = Vec::new();
+    for policy in [Policy::Production, Policy::Naive] {
+        let fleet = Fleet::start().await;
+        let controller = fleet.controller("controller-1", policy).await;
+        fleet.grant(&controller, 1).await;
+        let gateway = fleet.gateway().await;
+        let mut client = trainer(State::default());
+        for step in 1..=4 {
+            client.post(gateway, &round(step)).await.expect("post");
+        }
+        batch(&mut client, gateway, 1, 1).await;
+        wait_for(|| fleet.engine.count() >= 32).await;
+        fleet.table.set_down(true);
+        if !policy.delivers_without_table() {
+            let table = fleet.table.clone();
+            tokio::spawn(async move {
+                sleep(OUTAGE).await;
+                table.set_down(false);
+            });
+        }
+        let start = Instant::now();
+        for step in 2..=4 {
+            batch(&mut client, gateway, step, 1).await;
+        }
+        stalls.push(start.elapsed());
+    }
+    println!("stall with cursor {:?}, waiting {:?}", stalls[0], stalls[1]);
+    assert!(stalls[1] >= OUTAGE, "the naive policy delivered without the table");
+}
