Start a sample a second time at another worker

Controllers name the first attempt in Dispatch.avoid, not a worker, so the gateway left nobody out. It now knows which worker runs each sample and never gives a second start to that one.

--- a/components/gateway/src/callers/completion/mod.rs
+++ b/components/gateway/src/callers/completion/mod.rs
@@ -63,7 +63,7 @@
         max_tokens: asked.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         priority: 0,
         min_version: None,
-        avoid: Vec::new(),
+        exclude: Vec::new(),
         deadline,
         streams: asked.stream,
     };
--- a/components/gateway/src/generate/mod.rs
+++ b/components/gateway/src/generate/mod.rs
@@ -51,8 +51,8 @@
     pub priority: u32,
     /// Oldest weight version allowed.
     pub min_version: Option<u64>,
-    /// Workers to leave out if others are eligible.
-    pub avoid: Vec<String>,
+    /// Workers to leave out, or other samples whose workers to leave out.
+    pub exclude: Vec<String>,
     /// When an answer is of no use any more.
     pub deadline: Instant,
     /// The caller wants each token as it arrives.
@@ -105,12 +105,15 @@
     sink: &mpsc::Sender<Item>,
 ) -> Result<Whole, Fault> {
     let mut progress = Progress::default();
-    let mut avoid = plan.avoid.clone();
+    let mut avoid = Vec::new();
+    let mut last: Option<Fault> = None;
     let mut verdict = Verdict::NotRun;
     for number in 0.. {
         let admission = admission(plan, &avoid, number > 0);
         let grant = context.router.admit(admission).await;
-        let grant = grant.map_err(|refusal| Fault::from(refusal).after(verdict))?;
+        // A retry that is refused leaves the fault of the attempt before.
+        let grant =
+            grant.map_err(|refusal| last.take().unwrap_or(refusal.into()).after(verdict))?;
         let started = context.now();
         let worker = grant.server.name.clone();
         let failure = match attempt_in_time(context, plan, &grant, &mut progress, sink).await {
@@ -129,6 +132,7 @@
         if !again {
             return Err(fault(&failure).after(verdict));
         }
+        last = Some(fault(&failure));
         avoid.push(worker);
     }
     unreachable!("the loop ends by return")
@@ -157,6 +161,7 @@
         min_version: plan.min_version,
         prefixes: prompt::prefixes(&plan.prompt),
         avoid: avoid.to_vec(),
+        exclude: plan.exclude.clone(),
         deadline: plan.deadline,
         retry,
     }
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -102,7 +102,7 @@
             max_tokens: dispatch.max_tokens,
             priority: dispatch.priority,
             min_version: dispatch.min_version,
-            avoid: dispatch.avoid,
+            exclude: dispatch.avoid,
             deadline: self.context.now().after(Duration::from_millis(dispatch.deadline_ms)),
             streams: true,
         })
--- a/components/gateway/src/proxy/mod.rs
+++ b/components/gateway/src/proxy/mod.rs
@@ -95,10 +95,13 @@
 pub async fn execute(context: &Context, plan: &Plan) -> Result<Reply, Fault> {
     let idempotent = is_idempotent(&plan.service, &plan.method, &plan.path);
     let mut avoid = Vec::new();
+    let mut last: Option<Fault> = None;
     let mut verdict = Verdict::NotRun;
     for number in 1.. {
         let grant = context.router.admit(admission(plan, &avoid, number > 1)).await;
-        let grant = grant.map_err(|refusal| Fault::from(refusal).after(verdict))?;
+        // A retry that is refused leaves the fault of the attempt before.
+        let grant =
+            grant.map_err(|refusal| last.take().unwrap_or(refusal.into()).after(verdict))?;
         let started = context.now();
         let worker = grant.server.name.clone();
         let tried = time::timeout(
@@ -132,6 +135,7 @@
             }
             _ => grant.finish(outcome),
         }
+        last = Some(fault(&failure));
         avoid.push(worker);
     }
     unreachable!("the loop ends by return")
@@ -148,6 +152,7 @@
         min_version: None,
         prefixes: Vec::new(),
         avoid: avoid.to_vec(),
+        exclude: Vec::new(),
         deadline: plan.deadline,
         retry,
     }
--- a/components/gateway/src/router/admission.rs
+++ b/components/gateway/src/router/admission.rs
@@ -37,6 +37,8 @@
     pub prefixes: Vec<String>,
     /// Workers to leave out if others are eligible.
     pub avoid: Vec<String>,
+    /// Workers to leave out, or other samples whose workers to leave out.
+    pub exclude: Vec<String>,
     /// Last time at which a worker is of use.
     pub deadline: Instant,
     /// The request was attempted before; it takes from the retry budget.
@@ -81,6 +83,7 @@
 pub(crate) struct Finished {
     pub(super) worker: Key<Worker>,
     pub(super) outcome: Outcome,
+    pub(super) sample: Option<String>,
 }
 
 /// Permission to send one request to one worker.
@@ -93,6 +96,8 @@
     pub(super) worker: Key<Worker>,
     pub(super) messages: mpsc::UnboundedSender<Message>,
     pub(super) outcome: Outcome,
+    /// Request identifier, if it is a sample.
+    pub(super) sample: Option<String>,
 }
 
 impl Grant {
@@ -104,7 +109,8 @@
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        let finished = Finished { worker: self.worker, outcome: self.outcome };
+        let (worker, outcome, sample) = (self.worker, self.outcome, self.sample.take());
+        let finished = Finished { worker, outcome, sample };
         // Fails only while the process ends.
         let _ = self.messages.send(Message::Finished(finished));
     }
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -44,7 +44,6 @@
 
 struct Waiting {
     admission: Admission,
-    avoid: Vec<Key<Worker>>,
     reply: Reply,
 }
 
@@ -54,6 +53,8 @@
     pub(super) rng: SmallRng,
     servers: HashMap<Key<Worker>, Arc<Server>>,
     queues: HashMap<Key<Service>, Queue<Waiting>>,
+    // Controllers choose the identifiers of samples, and they hold the cluster key.
+    samples: HashMap<String, Key<Worker>>,
     messages: mpsc::WeakUnboundedSender<Message>,
     outputs: Outputs,
 }
@@ -70,6 +71,7 @@
             fleet: Fleet::default(),
             servers: HashMap::default(),
             queues: HashMap::default(),
+            samples: HashMap::default(),
             messages,
             outputs,
         }
@@ -138,8 +140,7 @@
                 return;
             }
         }
-        let avoid = admission.avoid.iter().filter_map(|name| self.fleet.worker_key(name)).collect();
-        let waiting = Waiting { admission, avoid, reply };
+        let waiting = Waiting { admission, reply };
         if self.queues.get(&key).is_none_or(Queue::is_empty) {
             if let Some(waiting) = self.place(key, waiting) {
                 self.enqueue(key, waiting);
@@ -192,7 +193,12 @@
             worker: choice.worker,
             messages,
             outcome: Outcome::Abandoned,
+            sample: (waiting.admission.class == Class::Rollout)
+                .then(|| waiting.admission.request_id.clone()),
         };
+        if let Some(sample) = &grant.sample {
+            self.samples.insert(sample.clone(), choice.worker);
+        }
         self.log(&waiting.admission, choice);
         self.fleet.sent(choice.worker, self.setup.clock.now());
         // A caller that is gone drops the grant, which reports it as abandoned.
@@ -200,24 +206,35 @@
         None
     }
 
-    /// Choice without the workers to avoid, else with them: a second try beats none.
+    /// Choice without the workers to avoid, else with them: a second try beats none. Workers to
+    /// exclude are never chosen.
     fn choose(&mut self, key: Key<Service>, waiting: &Waiting) -> Option<Choice> {
         let now = self.setup.clock.now();
+        let admission = &waiting.admission;
+        let mut avoid: Vec<_> =
+            admission.exclude.iter().filter_map(|name| self.named(name)).collect();
+        let excluded = avoid.len();
+        avoid.extend(admission.avoid.iter().filter_map(|name| self.fleet.worker_key(name)));
         let mut request = Request {
             service: key,
-            class: waiting.admission.class,
-            min_version: waiting.admission.min_version,
-            prefixes: &waiting.admission.prefixes,
-            avoid: &waiting.avoid,
+            class: admission.class,
+            min_version: admission.min_version,
+            prefixes: &admission.prefixes,
+            avoid: &avoid,
         };
         let choice = self.setup.policy.choose(&self.fleet, &request, now, &mut self.rng);
-        if choice.is_some() || waiting.avoid.is_empty() {
+        if choice.is_some() || avoid.len() == excluded {
             return choice;
         }
-        request.avoid = &[];
+        request.avoid = &avoid[..excluded];
         self.setup.policy.choose(&self.fleet, &request, now, &mut self.rng)
     }
 
+    /// Worker of that name, or the one that runs the sample of that name.
+    fn named(&self, name: &str) -> Option<Key<Worker>> {
+        self.fleet.worker_key(name).or_else(|| self.samples.get(name).copied())
+    }
+
     fn log(&self, admission: &Admission, choice: Choice) {
         if !log::log_enabled!(log::Level::Info) {
             return;
@@ -235,6 +252,9 @@
     fn finished(&mut self, finished: &Finished) {
         let now = self.setup.clock.now();
         let jitter = self.rng.random_range(0.0..1.0);
+        if let Some(sample) = &finished.sample {
+            self.samples.remove(sample);
+        }
         self.fleet.finished(finished.worker, finished.outcome, now, jitter);
         self.pump_of(finished.worker);
     }
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -249,19 +249,7 @@
     let (up, seen) = engine(Act::Whole).await;
     let gateway = gateway(OPTIONS, &[&up]).await;
     let link = link(&gateway);
-    let dispatch = Dispatch {
-        request_id: "sample-1".to_owned(),
-        service: "svc".to_owned(),
-        team: "agronomy".to_owned(),
-        trainer: "t".to_owned(),
-        prompt: "p".to_owned(),
-        max_tokens: 6,
-        priority: 3,
-        deadline_ms: 5_000,
-        min_version: None,
-        avoid: Vec::new(),
-    };
-    let mut replies = link.call(&dispatch.into()).await.expect("call");
+    let mut replies = link.call(&dispatch("sample-1", Vec::new())).await.expect("call");
     let mut tokens = 0;
     let finish = loop {
         match replies.next().await.expect("reply") {
@@ -330,3 +318,58 @@
     let resume = seen[0].resume_from.as_ref().expect("resumed");
     assert_eq!((seen.len(), resume.tokens), (1, 3));
 }
+
+/// Guards against a second start of a straggler at the very worker that is slow.
+#[tokio::test]
+async fn can_start_a_sample_a_second_time_elsewhere() {
+    let slow = || {
+        Scripted::start(|_, mut conn| async move {
+            let _ = conn.request().await;
+            // Never answers.
+            let _ = conn.request().await;
+        })
+    };
+    let (one, two) = (slow().await, slow().await);
+    let gateway = gateway(OPTIONS, &[&one, &two]).await;
+    let link = link(&gateway);
+    for turn in 0..4 {
+        let before = (one.served(), two.served());
+        let first = dispatch(&format!("first-{turn}"), Vec::new());
+        let _first = tokio::spawn({
+            let link = link.clone();
+            async move { link.call(&first).await?.next().await }
+        });
+        wait_served(&one, &two, 2 * turn + 1).await;
+        let second = dispatch(&format!("second-{turn}"), vec![format!("first-{turn}")]);
+        let _second = tokio::spawn({
+            let link = link.clone();
+            async move { link.call(&second).await?.next().await }
+        });
+        wait_served(&one, &two, 2 * turn + 2).await;
+        assert_eq!((one.served(), two.served()), (before.0 + 1, before.1 + 1));
+    }
+}
+
+async fn wait_served(one: &Scripted, two: &Scripted, count: usize) {
+    let until = tokio::time::Instant::now() + common::PATIENCE;
+    while one.served() + two.served() < count {
+        assert!(tokio::time::Instant::now() < until, "a sample does not arrive");
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+fn dispatch(request_id: &str, avoid: Vec<String>) -> Frame {
+    Dispatch {
+        request_id: request_id.to_owned(),
+        service: "svc".to_owned(),
+        team: "agronomy".to_owned(),
+        trainer: "t".to_owned(),
+        prompt: "p".to_owned(),
+        max_tokens: 6,
+        priority: 3,
+        deadline_ms: 20_000,
+        min_version: None,
+        avoid,
+    }
+    .into()
+}
--- a/components/wire/src/frame/mod.rs
+++ b/components/wire/src/frame/mod.rs
@@ -96,7 +96,7 @@
     pub deadline_ms: u64,
     /// Oldest weight version that may be used.
     pub min_version: Option<u64>,
-    /// Workers to leave out, such as the one of a first attempt.
+    /// Workers to leave out, by name or by the request identifier of another attempt that runs there.
     pub avoid: Vec<String>,
 }
 
