--- a/components/gateway/src/backend/h1.rs
+++ b/components/gateway/src/backend/h1.rs
@@ -20,8 +20,6 @@
     failure::chain,
 };
 
-/// Time limit for a new connection.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Age from which an idle connection is not used again.
 const IDLE_LIFE: Duration = Duration::from_secs(15);
 /// Most idle connections kept per server.
@@ -92,7 +90,7 @@
                 result => return result,
             }
         }
-        let connection = connect(self.address).await?;
+        let connection = connect(self.address, call.connect_limit()).await?;
         self.exchange(connection, address, call).await
     }
 
@@ -158,9 +156,9 @@
     }
 }
 
-pub(super) async fn open(address: SocketAddr) -> Result<TcpStream, Failure> {
+pub(super) async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, Failure> {
     let failed = |message: String| Failure::unsent(Kind::Connect, message);
-    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = time::timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| failed("connect timed out".to_owned()))?
         .map_err(|error| failed(error.to_string()))?;
@@ -168,8 +166,8 @@
     Ok(stream)
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
-    let (stream, written) = Counted::new(open(address).await?);
+async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, Failure> {
+    let (stream, written) = Counted::new(open(address, limit).await?);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Failure::unsent(Kind::Connect, chain(&error)))?;
--- a/components/gateway/src/backend/h2link.rs
+++ b/components/gateway/src/backend/h2link.rs
@@ -1,6 +1,6 @@
 //! HTTP/2 connection to one backend server, shared by its requests.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use filbertsail_http::Body;
 use h2::Reason;
@@ -8,11 +8,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{sync::Mutex, time};
 
-use super::{
-    Answer, Call, Failure, Kind,
-    failure::chain,
-    h1::{CONNECT_TIMEOUT, open},
-};
+use super::{Answer, Call, Failure, Kind, failure::chain, h1::open};
 
 /// HTTP/2 connection to one backend server.
 #[derive(Debug)]
@@ -27,7 +23,7 @@
     }
 
     pub(super) async fn send(&self, address: SocketAddr, call: &Call) -> Result<Answer, Failure> {
-        let mut sender = self.sender().await?;
+        let mut sender = self.sender(call.connect_limit()).await?;
         let request = call.request(address, true)?;
         match sender.try_send_request(request).await {
             Ok(response) => {
@@ -41,7 +37,7 @@
         }
     }
 
-    async fn sender(&self) -> Result<SendRequest<Body>, Failure> {
+    async fn sender(&self, limit: Duration) -> Result<SendRequest<Body>, Failure> {
         let mut slot = self.sender.lock().await;
         if let Some(sender) = slot.as_mut()
             && !sender.is_closed()
@@ -49,16 +45,16 @@
         {
             return Ok(sender.clone());
         }
-        let sender = connect(self.address).await?;
+        let sender = connect(self.address, limit).await?;
         *slot = Some(sender.clone());
         Ok(sender)
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, Failure> {
-    let stream = open(address).await?;
+async fn connect(address: SocketAddr, limit: Duration) -> Result<SendRequest<Body>, Failure> {
+    let stream = open(address, limit).await?;
     let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
-    let (sender, connection) = time::timeout(CONNECT_TIMEOUT, handshake)
+    let (sender, connection) = time::timeout(limit, handshake)
         .await
         .map_err(|_| Failure::unsent(Kind::Connect, "handshake timed out"))?
         .map_err(|error| Failure::unsent(Kind::Connect, chain(&error)))?;
--- a/components/gateway/src/backend/mod.rs
+++ b/components/gateway/src/backend/mod.rs
@@ -11,7 +11,7 @@
 pub mod h1;
 pub mod h2link;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use filbertsail_http::Body;
@@ -21,6 +21,9 @@
 
 pub use failure::{Failure, Kind};
 
+/// Time limit of a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Request to a backend server; it can be built again for another attempt.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -34,6 +37,9 @@
     pub body: Bytes,
     /// A repeated run does no harm.
     pub idempotent: bool,
+    /// Time left. A connection must be there before it is over, so that a request that was never
+    /// sent does not time out as one that was.
+    pub left: Duration,
 }
 
 /// Backend server.
@@ -102,6 +108,12 @@
 }
 
 impl Call {
+    /// Time limit of a new connection.
+    fn connect_limit(&self) -> Duration {
+        const MARGIN: Duration = Duration::from_millis(5);
+        CONNECT_TIMEOUT.min(self.left.saturating_sub(MARGIN))
+    }
+
     /// Request for an HTTP/1.1 connection (origin form) or an h2 stream (absolute form).
     fn request(&self, address: SocketAddr, absolute: bool) -> Result<Request<Body>, Failure> {
         let uri =
--- a/components/gateway/src/fault/mod.rs
+++ b/components/gateway/src/fault/mod.rs
@@ -44,6 +44,13 @@
         Self::new(status, code, message, Verdict::NotRun)
     }
 
+    /// Fault of a request whose deadline passed before it was sent.
+    #[must_use]
+    pub fn too_late() -> Self {
+        let message = "deadline passed before the request was sent";
+        Self::refused(StatusCode::GATEWAY_TIMEOUT, "deadline_passed", message)
+    }
+
     /// The same fault after an earlier attempt that ended with `verdict`.
     #[must_use]
     pub fn after(mut self, verdict: Verdict) -> Self {
--- a/components/gateway/src/generate/attempt.rs
+++ b/components/gateway/src/generate/attempt.rs
@@ -130,9 +130,10 @@
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let id = HeaderValue::from_str(id).map_err(|error| malformed(error.to_string()))?;
     headers.insert(REQUEST_ID_HEADER, id);
-    let left = u64::try_from(context.left(plan.deadline).as_millis()).unwrap_or(u64::MAX);
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
+    let left = context.left(plan.deadline);
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
     let path = "/v1/completions".to_owned();
     // A completion has no effect outside the answer.
-    Ok(Call { method: Method::POST, path, headers, body: body.into(), idempotent: true })
+    Ok(Call { method: Method::POST, path, headers, body: body.into(), idempotent: true, left })
 }
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -120,6 +120,7 @@
         headers: HeaderMap::new(),
         body: bytes::Bytes::new(),
         idempotent: true,
+        left: REPORT_TIMEOUT,
     };
     let exchange = async {
         let answer = server.send(&call).await.map_err(|_| false)?;
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -147,7 +147,14 @@
     headers.insert(REQUEST_ID_HEADER, id);
     let path = "/v1/orders".to_owned();
     // Orders declare an end state, so that a repeated one does no harm.
-    Ok(Call { method: Method::POST, path, headers, body: Bytes::from(body), idempotent: true })
+    Ok(Call {
+        method: Method::POST,
+        path,
+        headers,
+        body: Bytes::from(body),
+        idempotent: true,
+        left: ORDER_TIMEOUT,
+    })
 }
 
 /// An engine that refuses an order states its outcome in the body of the refusal as well.
--- a/components/gateway/src/proxy/attempt.rs
+++ b/components/gateway/src/proxy/attempt.rs
@@ -58,13 +58,15 @@
     let id = HeaderValue::from_str(id);
     let id = id.map_err(|error| Failure::unsent(Kind::Malformed, error.to_string()))?;
     headers.insert(REQUEST_ID_HEADER, id);
-    let left = u64::try_from(context.left(plan.deadline).as_millis()).unwrap_or(u64::MAX);
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
+    let left = context.left(plan.deadline);
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
     Ok(Call {
         method: plan.method.clone(),
         path: plan.path.clone(),
         headers,
         body: plan.body.clone(),
         idempotent,
+        left,
     })
 }
--- a/components/gateway/src/proxy/mod.rs
+++ b/components/gateway/src/proxy/mod.rs
@@ -102,6 +102,9 @@
         // A retry that is refused leaves the fault of the attempt before.
         let grant =
             grant.map_err(|refusal| last.take().unwrap_or(refusal.into()).after(verdict))?;
+        if context.left(plan.deadline).is_zero() {
+            return Err(last.unwrap_or_else(Fault::too_late).after(verdict));
+        }
         let started = context.now();
         let worker = grant.server.name.clone();
         let tried = time::timeout(
--- a/components/gateway/tests/verdicts.rs
+++ b/components/gateway/tests/verdicts.rs
@@ -212,3 +212,31 @@
     assert_eq!((response.status().as_u16(), &*verdict(&response)), (413, "not_run"));
     assert_eq!(server.served(), 0);
 }
+
+/// Guards against a request that was never sent and still counts as a possible run.
+#[tokio::test]
+async fn can_prove_that_a_request_without_time_left_did_not_run() {
+    let server = healthy("done").await;
+    let gateway = Gateway::application(&[server.address]).await;
+    let deadline = [("filbertsail-deadline-ms", "0")];
+    let late = gateway.call_with(Method::POST, "/s/svc/orders", "soap", &deadline).await;
+    assert_eq!((late.status().as_u16(), &*verdict(&late)), (504, "not_run"));
+    assert_eq!(server.served(), 0);
+    // A listener whose backlog is full drops further connections without an answer.
+    let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+    socket.bind("127.0.0.1:0".parse().expect("address")).expect("binds");
+    let address = socket.local_addr().expect("address");
+    let _listener = socket.listen(1).expect("listens");
+    let mut held = Vec::new();
+    let connect = || {
+        let stream = tokio::net::TcpStream::connect(address);
+        tokio::time::timeout(Duration::from_millis(200), stream)
+    };
+    while let Ok(stream) = connect().await {
+        held.push(stream);
+    }
+    let gateway = Gateway::application(&[address]).await;
+    let deadline = [("filbertsail-deadline-ms", "300")];
+    let late = gateway.call_with(Method::POST, "/s/svc/orders", "soap", &deadline).await;
+    assert_eq!(verdict(&late), "not_run", "{late:?}");
+}
