--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -7,6 +7,12 @@
 /// Load, fault scenarios and checks of the promises.
 #[derive(Debug, FromArgs)]
 pub struct Args {
+    /// file for the log of all daemons; none is written if absent
+    #[argh(option)]
+    pub log: Option<PathBuf>,
+    /// least level of the log
+    #[argh(option, default = "String::from(\"info\")")]
+    pub level: String,
     /// what to do
     #[argh(subcommand)]
     pub command: Command,
@@ -22,6 +28,32 @@
     Demo(Demo),
     /// Runs a scenario.
     Run(Run),
+    /// Measures the control overhead per daemon.
+    Capacity(Capacity),
+}
+
+/// Measure control traffic, CPU time and memory per daemon over the number of daemons.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// number of daemons; may be repeated
+    #[argh(option)]
+    pub daemons: Vec<usize>,
+    /// seconds over which each number is measured
+    #[argh(option, default = "20")]
+    pub seconds: u64,
+    /// configuration changes to time
+    #[argh(option, default = "200")]
+    pub changes: usize,
+    /// exchanges of digests over the peer link and over UDP
+    #[argh(option, default = "20000")]
+    pub exchanges: u32,
+    /// crashed holders per lease TTL
+    #[argh(option, default = "12")]
+    pub crashes: usize,
+    /// file for the result as JSON
+    #[argh(option)]
+    pub json: Option<PathBuf>,
 }
 
 /// Name the scenarios and policies.
@@ -69,6 +101,10 @@
     /// controllers
     #[argh(option, default = "3")]
     pub controllers: usize,
+    /// seconds between readiness and the load, in which new daemons raise their share of the
+    /// table's rate
+    #[argh(option, default = "10")]
+    pub warm: u64,
     /// file for the result as JSON
     #[argh(option)]
     pub json: Option<PathBuf>,
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -10,9 +10,13 @@
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
     let args: cli::Args = argh::from_env();
+    if let Some(file) = &args.log {
+        filbertsail_telemetry::logs::start(&args.level, Some(file))?;
+    }
     match args.command {
         Command::List(_) => Ok(cmd::list::run()),
         Command::Demo(demo) => cmd::demo::run(demo).await,
+        Command::Capacity(capacity) => cmd::capacity::run(capacity).await,
         Command::Run(run) => cmd::run::run(run).await,
     }
 }
