--- a/components/admin/src/fleet/mod.rs
+++ b/components/admin/src/fleet/mod.rs
@@ -34,12 +34,8 @@
 /// What a daemon knows of the fleet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct View {
-    /// Configuration version in force; 0 if none.
-    pub config_version: u64,
     /// Daemons known.
     pub known: usize,
-    /// Daemons known as live.
-    pub live: usize,
     /// The table service answered the last poll.
     pub table_reachable: bool,
 }
@@ -48,14 +44,12 @@
     /// Values for the metrics.
     #[must_use]
     pub fn levels(self) -> Vec<Level> {
-        let Self { config_version, known, live, table_reachable } = self;
+        let Self { known, table_reachable } = self;
         let level = |name, help, value| Level { name, help, value };
         let reachable = f64::from(u8::from(table_reachable));
-        // Versions and counts stay far below 2^53.
+        // Counts stay far below 2^53.
         vec![
-            level("config_version", "Configuration version in force", config_version as f64),
-            level("daemons_known", "Daemons known, with this one", known as f64),
-            level("daemons_live", "Daemons known as live, with this one", live as f64),
+            level("members_known", "Daemons known, with this one", known as f64),
             level("table_reachable", "1 if the table service answered last, else 0", reachable),
         ]
     }
--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -71,14 +71,8 @@
     }
 
     fn levels(&self) -> Vec<Level> {
-        let members = self.0.members().borrow().clone();
-        let view = View {
-            config_version: self.0.config().borrow().as_ref().map_or(0, |it| it.version),
-            known: members.len(),
-            live: members.iter().filter(|member| member.live).count(),
-            table_reachable: self.0.table_reachable(),
-        };
-        view.levels()
+        let known = self.0.members().borrow().len();
+        View { known, table_reachable: self.0.table_reachable() }.levels()
     }
 }
 
--- a/components/gateway/src/fleet/mod.rs
+++ b/components/gateway/src/fleet/mod.rs
@@ -53,14 +53,8 @@
     }
 
     fn levels(&self) -> Vec<Level> {
-        let members = self.agent.members().borrow().clone();
-        let view = View {
-            config_version: self.agent.config().borrow().as_ref().map_or(0, |it| it.version),
-            known: members.len(),
-            live: members.iter().filter(|member| member.live).count(),
-            table_reachable: self.agent.table_reachable(),
-        };
-        view.levels()
+        let known = self.agent.members().borrow().len();
+        View { known, table_reachable: self.agent.table_reachable() }.levels()
     }
 }
 
