Metrics: one series for a name that two parts of a daemon create

Two instruments of one name with different descriptions gave two series of that name. The first description is kept now. The new test failed before the change with both series.

--- a/components/telemetry/src/metrics/mod.rs
+++ b/components/telemetry/src/metrics/mod.rs
@@ -4,7 +4,10 @@
 //! each other's values. Instruments are created once and cloned into the tasks that record; attribute
 //! lists that repeat are built once as well.
 
-use std::sync::Arc;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use derive_more::Debug;
 use eyre::{Context, Result};
@@ -36,6 +39,9 @@
     /// Keeps the reader alive; without it the registry gathers nothing.
     _provider: SdkMeterProvider,
     registry: prometheus::Registry,
+    /// Description of each name. Instruments that differ only in it would give two series of one
+    /// name, which Prometheus refuses.
+    help: Mutex<BTreeMap<&'static str, &'static str>>,
 }
 
 impl Registry {
@@ -55,25 +61,27 @@
         let provider =
             SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
         let meter = provider.meter(NAMESPACE);
-        Ok(Self { inner: Arc::new(Inner { meter, _provider: provider, registry }) })
+        Ok(Self {
+            inner: Arc::new(Inner { meter, _provider: provider, registry, help: Mutex::default() }),
+        })
     }
 
     /// Counter `filbertsail_<name>_total`.
     #[must_use]
     pub fn counter(&self, name: &'static str, help: &'static str) -> Counter<u64> {
-        self.inner.meter.u64_counter(name).with_description(help).build()
+        self.inner.meter.u64_counter(name).with_description(self.help(name, help)).build()
     }
 
     /// Gauge `filbertsail_<name>`.
     #[must_use]
     pub fn gauge(&self, name: &'static str, help: &'static str) -> Gauge<f64> {
-        self.inner.meter.f64_gauge(name).with_description(help).build()
+        self.inner.meter.f64_gauge(name).with_description(self.help(name, help)).build()
     }
 
     /// Gauge `filbertsail_<name>` that is changed by differences, such as requests in flight.
     #[must_use]
     pub fn level(&self, name: &'static str, help: &'static str) -> UpDownCounter<i64> {
-        self.inner.meter.i64_up_down_counter(name).with_description(help).build()
+        self.inner.meter.i64_up_down_counter(name).with_description(self.help(name, help)).build()
     }
 
     /// Histogram of times, `filbertsail_<name>_seconds`.
@@ -91,10 +99,16 @@
         unit: &'static str,
         bounds: Vec<f64>,
     ) -> Histogram<f64> {
-        let builder = self.inner.meter.f64_histogram(name).with_description(help);
+        let builder = self.inner.meter.f64_histogram(name).with_description(self.help(name, help));
         builder.with_unit(unit).with_boundaries(bounds).build()
     }
 
+    /// Description that `name` was first created with.
+    fn help(&self, name: &'static str, help: &'static str) -> &'static str {
+        let mut known = self.inner.help.lock().unwrap_or_else(PoisonError::into_inner);
+        known.entry(name).or_insert(help)
+    }
+
     /// Present values in the Prometheus text format.
     ///
     /// # Errors
--- a/components/telemetry/tests/metrics.rs
+++ b/components/telemetry/tests/metrics.rs
@@ -29,3 +29,15 @@
     assert!(text.contains("filbertsail_request_duration_seconds_bucket{le=\"0.0025\"} 0\n"));
     assert!(text.contains("filbertsail_request_duration_seconds_bucket{le=\"0.005\"} 1\n"));
 }
+
+/// Guards against two series of one name, where two parts of a daemon report the same value.
+#[test]
+fn can_share_a_name() {
+    let registry = Registry::new("gateway-1").expect("registry");
+    registry.gauge("config_version", "Version").record(1.0, &[]);
+    registry.gauge("config_version", "Version in force").record(2.0, &[]);
+    let text = text(&registry);
+    let series: Vec<_> =
+        text.lines().filter(|line| line.starts_with("filbertsail_config_version")).collect();
+    assert_eq!(series, ["filbertsail_config_version 2"]);
+}
