HTTP server: keep a connection while the end of an answer is on its way

A connection counted as idle once its last answer was handed to the socket, so that a large answer to a steady slow caller was cut after the idle timeout. Bytes sent now count as activity, and the stall timeout is 30 s. The test of a steady reader failed before the change with the watchdog's cut.

--- a/components/http/src/server/limits.rs
+++ b/components/http/src/server/limits.rs
@@ -14,7 +14,9 @@
     /// Time that a connection stays open between requests. It exceeds the time that the client of
     /// this crate keeps idle connections, so that a request does not meet a connection that closes.
     pub idle_timeout: Duration,
-    /// Time that a caller may fall behind `min_bytes_per_s` before it is cut off.
+    /// Time that a caller may fall behind `min_bytes_per_s` before it is cut off. A socket takes
+    /// more of an answer only once a third of its buffer is free, so a short time would cut off
+    /// steady callers above the least rate.
     pub stall_timeout: Duration,
     /// Least rate at which a caller sends a body and reads an answer.
     pub min_bytes_per_s: u32,
@@ -29,7 +31,7 @@
             header_bytes: 32 * 1024,
             body_bytes: 8 * 1024 * 1024,
             idle_timeout: Duration::from_secs(60),
-            stall_timeout: Duration::from_secs(10),
+            stall_timeout: Duration::from_secs(30),
             min_bytes_per_s: 16 * 1024,
             connections: 2_048,
         }
--- a/components/http/src/server/socket.rs
+++ b/components/http/src/server/socket.rs
@@ -47,6 +47,9 @@
         if let Some((since, _)) = self.blocked.take() {
             self.behind += since.elapsed();
         }
+        if bytes > 0 {
+            self.watch.sent();
+        }
         self.behind = self.behind.saturating_sub(self.watch.limits().time_for(bytes));
     }
 }
@@ -128,14 +131,17 @@
     const TOTAL_BYTES: usize = 100_000;
 
     /// Writes to a reader that takes `rate` bytes each second; returns the result and the time taken.
+    /// The watchdog ends the writing as it ends a connection.
     async fn write_to_reader(rate: usize) -> (Result<(), ErrorKind>, Duration) {
         let limits = Limits {
             stall_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(20),
             min_bytes_per_s: 1_000,
             ..Limits::default()
         };
         let (ours, mut theirs) = duplex(100);
-        let mut socket = Socket::new(ours, Watch::new(limits));
+        let watch = Watch::new(limits);
+        let mut socket = Socket::new(ours, watch.clone());
         tokio::spawn(async move {
             let mut buffer = vec![0; rate];
             while theirs.read_exact(&mut buffer).await.is_ok() {
@@ -143,8 +149,11 @@
             }
         });
         let start = Instant::now();
-        let result = socket.write_all(&[0; TOTAL_BYTES]).await;
-        (result.map_err(|error| error.kind()), start.elapsed())
+        let result = tokio::select! {
+            result = socket.write_all(&[0; TOTAL_BYTES]) => result.map_err(|error| error.kind()),
+            () = watch.expired() => Err(ErrorKind::ConnectionAborted),
+        };
+        (result, start.elapsed())
     }
 
     /// Guards against a reader that keeps a connection by taking a byte now and then.
@@ -155,7 +164,7 @@
         assert!(taken > Duration::from_secs(5) && taken < Duration::from_secs(15), "{taken:?}");
     }
 
-    /// Guards against a cut of a reader that is steady and slow.
+    /// Guards against a cut of a reader that is steady and slow, by the least rate or as idle.
     #[tokio::test(start_paused = true)]
     async fn can_keep_a_reader_above_the_least_rate() {
         let (result, taken) = write_to_reader(1_250).await;
--- a/components/http/src/server/watch.rs
+++ b/components/http/src/server/watch.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Notes bytes that were sent. The end of an answer may still be on its way when its request
+    /// is finished, and the connection is not idle until then.
+    pub(crate) fn sent(&self) {
+        self.lock().idle_since = Instant::now();
+    }
+
     /// Notes a request until the returned value is dropped.
     pub(crate) fn request(&self) -> InFlight {
         let mut state = self.lock();
