HTTP server: apply the rule on unread parts to HTTP/2 only

With HTTP/1.1 the socket keeps the least rate, and a large part of an answer may be on its way longer than the stall timeout. The new HTTP/2 test fails when the rule is switched off: the server does not end.

--- a/components/http/src/server/watch.rs
+++ b/components/http/src/server/watch.rs
@@ -98,7 +98,9 @@
         let Limits { idle_timeout, header_timeout, stall_timeout, .. } = self.limits;
         let idle = state.in_flight == 0 && now.duration_since(state.idle_since) > idle_timeout;
         let head = state.head_since.is_some_and(|since| now.duration_since(since) > header_timeout);
-        let unread = state.unread.values().any(|since| now.duration_since(*since) > stall_timeout);
+        // HTTP/2 holds an answer back without a blocked socket; with HTTP/1.1 the socket notices.
+        let unread = state.http2 == Some(true)
+            && state.unread.values().any(|since| now.duration_since(*since) > stall_timeout);
         idle && state.head_since.is_none() || head || unread
     }
 
--- a/components/http/tests/limits.rs
+++ b/components/http/tests/limits.rs
@@ -8,7 +8,9 @@
     server::{Handler, Limits, serve},
 };
 use http::{Request, Response};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, client::conn::http2};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -139,6 +141,21 @@
     }
 }
 
+/// Guards against HTTP/2 callers that stop reading by flow control, which blocks no socket.
+#[tokio::test]
+async fn can_cut_off_http2_callers_that_do_not_read() {
+    let server = start(Limits { stall_timeout: SHORT, ..Limits::default() }).await;
+    let stream = TcpStream::connect(server.address).await.expect("connects");
+    let (mut sender, connection) =
+        http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await.expect("HTTP/2");
+    tokio::spawn(connection);
+    let request = Request::get("http://a/stream").body(Body::empty()).expect("request");
+    let response = sender.send_request(request).await.expect("answer starts");
+    server.stop.cancel();
+    timeout(PATIENCE, server.task).await.expect("server ends").expect("no panic");
+    assert!(response.into_body().collect().await.is_err(), "a whole answer of {LARGE_BYTES} bytes");
+}
+
 /// Guards against callers that take every connection of a VM.
 #[tokio::test]
 async fn can_limit_connections() {
