--- a/components/cluster/src/lease/machine.rs
+++ b/components/cluster/src/lease/machine.rs
@@ -81,6 +81,13 @@
         self.holding.filter(|holding| holding.is_valid(now))
     }
 
+    /// Whether another daemon holds the lease as far as known, so that an early look does no harm.
+    #[must_use]
+    pub fn contends(&self) -> bool {
+        let value = self.seen.as_ref().and_then(|seen| seen.value.as_ref());
+        value.is_some_and(|value| !self.is_mine(value)) && !self.stale
+    }
+
     /// Time between two looks of a contender.
     fn look_interval(&self) -> Duration {
         self.times.ttl / 4
--- a/components/cluster/src/lease/task.rs
+++ b/components/cluster/src/lease/task.rs
@@ -153,12 +153,23 @@
             }
         }
         if !looks.is_empty() {
+            self.add_contended(&mut looks);
             self.look(looks);
         }
         self.publish();
         next.since(self.clock.now()).clamp(PAUSES.0, PAUSES.1)
     }
 
+    /// Adds the scopes that are looked at from time to time, so that one read serves them all.
+    fn add_contended(&self, looks: &mut Vec<String>) {
+        for (scope, entry) in &self.work.entries {
+            let idle = !entry.busy && !entry.leaving;
+            if idle && entry.machine.contends() && !looks.contains(scope) {
+                looks.push(scope.clone());
+            }
+        }
+    }
+
     fn action(&mut self, scope: &str, now: Instant) -> Option<Action> {
         let token = self.tokens.next();
         if self.work.entries.get(scope)?.leaving {
