Standin: read escaped names in the weight and object stores

The platform adapters escape every character but letters and digits, so that the weight store answered 404 for kettle-models and no new weights were ever loaded; the staleness of samples grew until rounds stalled. The trainers' idle time now counts a wait that the end of the load cuts off.

--- a/components/bench/src/journal/mod.rs
+++ b/components/bench/src/journal/mod.rs
@@ -188,9 +188,9 @@
     pub accepted: Vec<Accepted>,
     /// Versions in force.
     pub in_force: Vec<InForce>,
-    /// Trainer time in seconds: waiting for batches, and training.
+    /// Seconds that trainers waited for batches.
     pub waited_s: f64,
-    /// Seconds spent training.
+    /// Seconds that trainers trained.
     pub trained_s: f64,
 }
 
--- a/components/bench/src/trainer/mod.rs
+++ b/components/bench/src/trainer/mod.rs
@@ -80,6 +80,7 @@
         let mut client = Client::new(Http::default(), name, token, State::default());
         let mut posted = 0;
         let mut step = 0;
+        let mut ended = false;
         loop {
             while posted <= step + self.options.ahead && !stop.is_cancelled() {
                 self.post(&client, posted).await;
@@ -89,14 +90,24 @@
                 return;
             }
             let wanted = Boot.now();
-            self.fetch(&mut client, step, wanted).await;
-            let waited = Boot.now().since(wanted);
-            sleep(self.options.train).await;
-            // The time after the end of the run, without new rounds, is no measure of idleness.
-            if !stop.is_cancelled() && step > 0 {
-                let mut pages = self.journal.write();
-                pages.waited_s += waited.as_secs_f64();
-                pages.trained_s += self.options.train.as_secs_f64();
+            let fetch = self.fetch(&mut client, step, wanted);
+            tokio::pin!(fetch);
+            let in_load = tokio::select! {
+                () = fetch.as_mut() => true,
+                () = stop.cancelled() => false,
+            };
+            // The first step has no round posted ahead; time after the load does not count.
+            if step > 0 && !ended {
+                self.journal.write().waited_s += Boot.now().since(wanted).as_secs_f64();
+            }
+            if in_load {
+                sleep(self.options.train).await;
+                if step > 0 {
+                    self.journal.write().trained_s += self.options.train.as_secs_f64();
+                }
+            } else {
+                ended = true;
+                fetch.await;
             }
             step += 1;
         }
--- a/components/standin/src/object/mod.rs
+++ b/components/standin/src/object/mod.rs
@@ -11,6 +11,7 @@
 use filbertsail_clock::{Boot, Source};
 use filbertsail_http::Body;
 use http::{Method, Request, Response, StatusCode, header};
+use percent_encoding::percent_decode_str;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -78,6 +79,8 @@
         let Some(key) = request.uri().path().strip_prefix("/o/") else {
             return text(StatusCode::NOT_FOUND, "no such path");
         };
+        // Callers may escape any character.
+        let key = &*percent_decode_str(key).decode_utf8_lossy();
         let now = Boot.now();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let read = request.method() == Method::GET;
--- a/components/standin/src/weight/mod.rs
+++ b/components/standin/src/weight/mod.rs
@@ -11,6 +11,7 @@
 use filbertsail_collections::HashMap;
 use filbertsail_http::Body;
 use http::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -81,8 +82,10 @@
             .split('&')
             .find_map(|pair| pair.strip_prefix("service="))
             .unwrap_or_default();
+        // Callers may escape any character.
+        let service = percent_decode_str(service).decode_utf8_lossy();
         let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        match state.latest.get(service) {
+        match state.latest.get(&*service) {
             Some(latest) => json(StatusCode::OK, latest),
             None => text(StatusCode::NOT_FOUND, "nothing published"),
         }
--- a/components/standin/tests/protocols.rs
+++ b/components/standin/tests/protocols.rs
@@ -6,6 +6,7 @@
 use filbertsail_api::{
     engine::{Finish, Order},
     table::{Check, Expect, Query, Transaction, Write},
+    weight::Latest,
 };
 use filbertsail_http::{
     Body,
@@ -15,7 +16,7 @@
     engine::{self, record},
     fault::Kind,
     server::Place,
-    service, table,
+    service, table, weight,
 };
 use http::{Request, Response, StatusCode};
 use serde::Serialize;
@@ -143,3 +144,16 @@
     assert!(std::str::from_utf8(answer.body()).expect("text").contains("c-1"));
     assert_eq!(service.runs().iter().filter(|run| run.id == "c-1").count(), 2);
 }
+
+/// Guards against a store that knows a service only by its unescaped name.
+#[tokio::test]
+async fn weight_store_reads_escaped_names() {
+    let stop = CancellationToken::new();
+    let store = weight::start(ANY, 10.0, Place::default(), stop).expect("starts");
+    store.publish("a-b", 7, 1);
+    let uri = format!("http://{}/v1/latest?service=a%2Db", store.address);
+    let request = Request::get(uri).body(Body::empty()).expect("request");
+    let answer = Client::default().send(request, Duration::from_secs(5)).await.expect("answers");
+    let latest: Latest = serde_json::from_slice(answer.body()).expect("latest");
+    assert_eq!(latest.version, 7);
+}
