--- a/components/bench/src/scenario/action.rs
+++ b/components/bench/src/scenario/action.rs
@@ -31,6 +31,8 @@
     ObjectsDown(bool),
     /// Share of calls with a fault at the table service, object store and application servers.
     Answers(Option<Kind>, f64),
+    /// A share of scores takes the given time longer.
+    Scores(Duration, f64),
     /// A share of an engine's streams breaks off.
     Streams(usize, f64),
     /// The next swap of an engine fails partway.
@@ -87,6 +89,7 @@
             Self::TableDown(down) => world.set.table.faults.set_down(down),
             Self::ObjectsDown(down) => world.set.objects.faults.set_down(down),
             Self::Answers(kind, share) => answers(world, kind, share),
+            Self::Scores(delay, share) => world.set.scorer.faults.slow(delay, share),
             Self::Streams(index, share) => {
                 engines[index % engines.len()].faults.set(Kind::Half, share);
             }
@@ -118,6 +121,7 @@
         (Action::TableDown(true), Some(Action::TableDown(false))),
         (Action::ObjectsDown(true), Some(Action::ObjectsDown(false))),
         (Action::Answers(Some(Kind::LostAfter), 0.05), Some(Action::Answers(None, 0.0))),
+        (Action::Scores(Duration::from_secs(2), 0.5), Some(Action::Scores(Duration::ZERO, 0.0))),
         (Action::Streams(0, 0.2), Some(Action::Streams(0, 0.0))),
         (Action::FailSwap(0), None),
         (Action::Leaving(0, true), Some(Action::Leaving(0, false))),
