--- a/components/gateway/src/callers/mod.rs
+++ b/components/gateway/src/callers/mod.rs
@@ -50,6 +50,7 @@
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
+        self.context.metrics.answered(&response);
         response
     }
 }
