--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -28,8 +28,6 @@
     Demo(Demo),
     /// Runs a scenario.
     Run(Run),
-    /// Measures control overhead.
-    Capacity(Capacity),
     /// Measures the control overhead per daemon.
     Capacity(Capacity),
 }
@@ -117,24 +115,3 @@
     #[argh(option, long = "break")]
     pub broken: Option<String>,
 }
-
-/// Measure control overhead per daemon, takeover of leases and spread of configuration.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "capacity")]
-pub struct Capacity {
-    /// number of daemons; may be repeated, in rising order
-    #[argh(option)]
-    pub daemons: Vec<usize>,
-    /// seconds over which each number is measured
-    #[argh(option, default = "20")]
-    pub seconds: u64,
-    /// configuration changes to time
-    #[argh(option, default = "200")]
-    pub changes: usize,
-    /// crashed holders per lease TTL
-    #[argh(option, default = "12")]
-    pub crashes: usize,
-    /// file for the result as JSON
-    #[argh(option)]
-    pub json: Option<PathBuf>,
-}
--- a/components/bench/src/cmd/capacity.rs
+++ b/components/bench/src/cmd/capacity.rs
@@ -1,4 +1,4 @@
-//! Measures control overhead.
+//! Control overhead per daemon.
 
 use std::{fs, process::ExitCode, time::Duration};
 
@@ -7,21 +7,23 @@
 
 use crate::cli::Capacity;
 
+/// Runs the measurement and prints the report.
 pub async fn run(args: Capacity) -> eyre::Result<ExitCode> {
-    let usual = Options::default();
-    let daemons = if args.daemons.is_empty() { usual.daemons } else { args.daemons };
-    let options = Options {
-        daemons,
+    let mut options = Options {
         seconds: Duration::from_secs(args.seconds),
         changes: args.changes,
         crashes: args.crashes,
-        ..usual
+        exchanges: args.exchanges,
+        ..Options::default()
     };
+    if !args.daemons.is_empty() {
+        options.daemons = args.daemons;
+    }
     let report = capacity::run(options).await?;
     println!("{report}");
-    if let Some(path) = &args.json {
-        let text = serde_json::to_string_pretty(&report)?;
-        fs::write(path, text).wrap_err_with(|| format!("write {}", path.display()))?;
+    if let Some(path) = args.json {
+        let text = serde_json::to_vec_pretty(&report)?;
+        fs::write(&path, text).wrap_err_with(|| format!("write {}", path.display()))?;
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/components/bench/src/cmd/mod.rs
+++ b/components/bench/src/cmd/mod.rs
@@ -1,6 +1,5 @@
 //! Subcommands.
 
-pub mod capacity;
 pub mod capacity;
 pub mod demo;
 pub mod list;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -18,6 +18,5 @@
         Command::Demo(demo) => cmd::demo::run(demo).await,
         Command::Capacity(capacity) => cmd::capacity::run(capacity).await,
         Command::Run(run) => cmd::run::run(run).await,
-        Command::Capacity(capacity) => cmd::capacity::run(capacity).await,
     }
 }
