Controller: replace a partial group body by the complete one

At a planned stop a group was stored while some of its samples were still being scored. A partial body now gives way to the complete one.

--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -107,12 +107,15 @@
     }
 
     /// Bodies of groups that have become complete; with `partial`, those of other groups as well
-    /// once nothing of them is under way.
+    /// once nothing of them is under way. A partial body gives way to the complete one, as when the
+    /// last scores of a group arrive during a planned stop.
     pub fn complete_groups(&mut self, partial: bool) -> Vec<(String, Bytes)> {
         let mut bodies = Vec::new();
         for index in 0..self.round.spec().groups {
             let complete = self.round.is_group_complete(index);
-            if self.groups.contains_key(&index) || !(complete || partial) {
+            let has_body =
+                self.groups.get(&index).is_some_and(|body| !complete || self.is_whole(&body.group));
+            if has_body || !(complete || partial) {
                 continue;
             }
             let running = self.round.group(index).iter().any(|slot| !slot.attempts.is_empty());
@@ -197,6 +200,10 @@
         staleness::of(version, newest) <= self.posted.staleness_bound
     }
 
+    fn is_whole(&self, group: &Group) -> bool {
+        group.samples.len() == self.posted.group_size as usize
+    }
+
     fn to_api(&self, group: u32) -> Group {
         let slots = (0_u32..).zip(self.round.group(group));
         let scored = self.round.spec().scored;
@@ -223,3 +230,52 @@
         took: None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use filbertsail_api::trainer::{Group, Label, Round, Sample};
+    use filbertsail_clock::Instant;
+
+    use super::Work;
+
+    fn group(slots: &[u32]) -> Group {
+        let sample = |slot: &u32| Sample {
+            group: 0,
+            id: format!("t/1/0/{slot}"),
+            labels: vec![Label { from: 0, to: 1, version: 1 }],
+            score: Some(1.0),
+            slot: *slot,
+            text: "x".to_owned(),
+            tokens: 1,
+        };
+        Group { group: 0, samples: slots.iter().map(sample).collect() }
+    }
+
+    /// Guards against a batch with a group that a planned stop stored before its last score.
+    #[test]
+    fn can_replace_a_partial_body() {
+        let posted = Round {
+            trainer: "t".to_owned(),
+            step: 1,
+            prompts: vec!["p".to_owned()],
+            group_size: 2,
+            max_tokens: 1,
+            staleness_bound: 1,
+            deadline_ms: 1_000,
+            scorer: Some("127.0.0.1:1".to_owned()),
+        };
+        let mut work = Work::new(posted, Instant::default());
+        work.restore("old".to_owned(), group(&[0]));
+        let bodies = work.complete_groups(true);
+        assert_eq!(bodies.len(), 1);
+        work.stored(&bodies[0].0);
+        work.restore("old".to_owned(), group(&[1]));
+        let bodies = work.complete_groups(true);
+        assert_eq!(bodies.len(), 1, "the complete body replaces the partial one");
+        assert!(work.complete_listing(1).is_none(), "the complete body is not stored yet");
+        work.stored(&bodies[0].0);
+        assert!(work.complete_listing(1).is_some());
+        assert_eq!(work.batch()[0].samples.len(), 2);
+        assert!(work.complete_groups(true).is_empty());
+    }
+}
