--- a/components/standin/src/weight/mod.rs
+++ b/components/standin/src/weight/mod.rs
@@ -82,6 +82,7 @@
             .split('&')
             .find_map(|pair| pair.strip_prefix("service="))
             .unwrap_or_default();
+        // Callers may escape any character.
         let service = percent_decode_str(service).decode_utf8_lossy();
         let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match state.latest.get(&*service) {
