Rollout: count swaps to older versions and learn of earlier holders' orders

When newer weights were published in the middle of a wave, the plan forgot the swaps under way and took up to twice the allowed workers out. A worker that reports no version counts as failed only after twice the usual swap time, since engines report none while they swap. A new holder uses reports from after the last order of the earlier one could still arrive.

--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -77,6 +77,8 @@
     wave: Option<Wave>,
     pace: Pace,
     reports: HashMap<String, Worker>,
+    /// Time of the earliest report that counts in this term.
+    reports_from: Instant,
     asking: bool,
     surveying: bool,
     latest_at: Option<Instant>,
@@ -95,11 +97,12 @@
     let mut task = Task {
         ports,
         rules,
-        holding: *holding.borrow_and_update(),
+        holding: None,
         lost: 0,
         wave: None,
         pace: Pace::default(),
         reports: HashMap::new(),
+        reports_from: Instant::default(),
         asking: false,
         surveying: false,
         latest_at: None,
@@ -107,6 +110,7 @@
         orders: Arc::new(Semaphore::new(PARALLEL_ORDERS)),
         tasks: JoinSet::new(),
     };
+    task.hold(*holding.borrow_and_update());
     let mut tick = time::interval(TICK);
     tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -127,9 +131,12 @@
     fn hold(&mut self, holding: Option<Holding>) {
         let epoch = |holding: Option<Holding>| holding.map(|it| it.epoch);
         if epoch(holding) != epoch(self.holding) {
-            // What an earlier term ordered is learnt again from the reports.
+            // What an earlier holder ordered is learnt from reports that were made when none of its
+            // orders was on its way any more.
             self.wave = None;
             self.reports.clear();
+            let now = self.ports.clock.now();
+            self.reports_from = holding.map_or(now, |it| it.orders_from.max(now));
         }
         self.holding = holding;
     }
@@ -244,7 +251,8 @@
                 self.asking = false;
                 let known = self.wave.as_ref().map(Wave::target);
                 if let Some(version) = latest.filter(|it| known.is_none_or(|known| *it > known)) {
-                    self.wave = Some(Wave::new(version, self.pace));
+                    let pace = self.pace;
+                    self.wave.get_or_insert_with(|| Wave::new(version, pace)).retarget(version);
                     self.done = false;
                 }
             }
@@ -264,7 +272,8 @@
         for worker in workers.workers {
             let reported_at = now.before(Duration::from_millis(worker.age_ms));
             let known = self.reports.get(&worker.name);
-            if known.is_some_and(|known| known.reported_at > reported_at) {
+            let newer = known.is_none_or(|known| known.reported_at <= reported_at);
+            if !newer || reported_at < self.reports_from {
                 continue;
             }
             let usable = worker.live && !worker.leaving;
--- a/components/rollout/src/wave/mod.rs
+++ b/components/rollout/src/wave/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The workers' own reports say which weights they have; an order that was sent proves nothing.
 //! Workers are taken in an order that follows from their names alone, so that the next holder of
-//! the lease orders the same workers again before any others.
+//! the lease orders the same workers again before any others. A worker may report no version while
+//! it swaps, so only one that still reports none after the usual time counts as failed.
 
 mod pace;
 
@@ -15,8 +16,6 @@
 
 /// Time after which a worker that reports no change is ordered again.
 const SWAP_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time after which a worker whose swap failed is ordered again.
-const RETRY: Duration = Duration::from_secs(1);
 
 /// Worker as last reported.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +57,7 @@
 struct Ordered {
     at: Instant,
     attempt: u32,
+    version: u64,
 }
 
 /// Rollout of one version.
@@ -75,6 +75,11 @@
         Self { target, ordered: HashMap::default(), pace }
     }
 
+    /// Turns to a newer version. Swaps to the older one go on and still count as under way.
+    pub fn retarget(&mut self, target: u64) {
+        self.target = self.target.max(target);
+    }
+
     /// Version rolled out.
     #[must_use]
     pub fn target(&self) -> u64 {
@@ -107,7 +112,7 @@
         for worker in in_order(&usable) {
             let wanted = !self.has_target(worker) && !self.is_swapping(worker, now);
             let serves = worker.version.is_some();
-            if !wanted || !self.may_retry(worker, now) || free == 0 || (serves && spare == 0) {
+            if !wanted || free == 0 || (serves && spare == 0) {
                 continue;
             }
             spare -= usize::from(serves);
@@ -123,46 +128,45 @@
     }
 
     fn order(&mut self, worker: &str, now: Instant) -> Order {
-        let attempt = self.ordered.get(worker).map_or(1, |ordered| ordered.attempt + 1);
-        self.ordered.insert(worker.to_owned(), Ordered { at: now, attempt });
-        Order { worker: worker.to_owned(), version: self.target, attempt }
+        let version = self.target;
+        let earlier = self.ordered.get(worker).filter(|ordered| ordered.version == version);
+        let attempt = earlier.map_or(1, |ordered| ordered.attempt + 1);
+        self.ordered.insert(worker.to_owned(), Ordered { at: now, attempt, version });
+        Order { worker: worker.to_owned(), version, attempt }
     }
 
     /// Learns from swaps that have ended.
     fn observe(&mut self, workers: &[Worker], now: Instant) {
-        let open = workers.iter().filter(|worker| self.has_target(worker));
-        let done: Vec<&str> = open.map(|worker| worker.name.as_str()).collect();
         let swapping = self.ordered.len();
-        for name in done {
-            if let Some(ordered) = self.ordered.remove(name) {
-                self.pace.swapped(now.since(ordered.at), swapping);
-            }
+        for worker in workers {
+            let ordered = self.ordered.get(&worker.name);
+            let Some(ordered) = ordered.filter(|ordered| has(worker, ordered.version)) else {
+                continue;
+            };
+            self.pace.swapped(now.since(ordered.at), swapping);
+            self.ordered.remove(&worker.name);
         }
     }
 
     fn has_target(&self, worker: &Worker) -> bool {
-        worker.version.is_some_and(|version| version >= self.target)
-    }
-
-    /// A report from after the order that names no version tells of a failed swap.
-    fn has_failed(&self, worker: &Worker) -> bool {
-        let ordered = self.ordered.get(&worker.name);
-        worker.version.is_none() && ordered.is_none_or(|ordered| worker.reported_at > ordered.at)
+        has(worker, self.target)
     }
 
     fn is_swapping(&self, worker: &Worker, now: Instant) -> bool {
         let Some(ordered) = self.ordered.get(&worker.name) else { return false };
-        let waiting = now.since(ordered.at) < SWAP_TIMEOUT;
-        waiting && !self.has_target(worker) && !self.has_failed(worker)
+        // A report from before the order says nothing about its result.
+        let failed = worker.version.is_none()
+            && worker.reported_at.since(ordered.at) >= self.pace.patience();
+        !has(worker, ordered.version) && !failed && now.since(ordered.at) < SWAP_TIMEOUT
     }
 
     fn is_serving(&self, worker: &Worker, now: Instant) -> bool {
         worker.version.is_some() && !self.is_swapping(worker, now)
     }
+}
 
-    fn may_retry(&self, worker: &Worker, now: Instant) -> bool {
-        self.ordered.get(&worker.name).is_none_or(|ordered| now.since(ordered.at) >= RETRY)
-    }
+fn has(worker: &Worker, version: u64) -> bool {
+    worker.version.is_some_and(|loaded| loaded >= version)
 }
 
 #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/components/rollout/src/wave/pace.rs
+++ b/components/rollout/src/wave/pace.rs
@@ -13,6 +13,8 @@
 const ASSUMED_SWAP: Duration = Duration::from_secs(5);
 /// Multiple of the fastest swap beyond which the store counts as the bottleneck.
 const SLOW_FACTOR: f64 = 2.0;
+/// Least time before a swap counts as failed; reports lag.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 const DECREASE: f64 = 0.7;
 const INCREASE: f64 = 1.05;
 
@@ -49,6 +51,13 @@
         }
     }
 
+    /// Time after an order from which a worker without a version counts as failed.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        let usual = self.fastest.unwrap_or(ASSUMED_SWAP);
+        usual.mul_f64(SLOW_FACTOR).max(LEAST_PATIENCE)
+    }
+
     /// Workers that may swap at a time.
     #[must_use]
     pub fn width(&self, workers: usize, haste: f64) -> usize {
