--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -31,7 +31,9 @@
     context::Context,
     fleet::Fleet,
     gate::Gate,
-    marks, monitor,
+    marks,
+    metrics::Metrics,
+    monitor,
     peer::Peers,
     ports::{Agent, Claims, Members, Rounds, Table},
     router::{Router, Setup},
@@ -77,14 +79,16 @@
         ..agent::Settings::default()
     };
     let agent = agent::start(identity, agent_settings, table.clone(), agent_stop.clone());
+    let work = Metrics::new(&metrics);
     let router = Router::start(Setup {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         policy,
         clock: Boot,
         seed: incarnation,
+        metrics: work.clone(),
     });
-    let context = Context::new(&settings.name, incarnation, router.clone());
+    let context = Context::new(&settings.name, incarnation, router.clone(), work);
     let gate = Gate::new(agent.ready());
     let members = Members(agent.clone());
     let claims: Claims = claims::Claims::start(claims::Setup {
