--- /dev/null
+++ b/components/rollout/tests/scheduler.rs
@@ -0,0 +1,147 @@
+//! Scheduler against a plain reading of its rules, and against the naive policy in virtual time.
+
+use std::time::Duration;
+
+use filbertsail_clock::Instant;
+use filbertsail_rollout::{
+    policy::Policy,
+    round::Key,
+    scheduler::{Job, Start, View, plan},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+
+const NOW: Instant = Instant::from_millis(1_000_000);
+
+fn job() -> impl Strategy<Value = Job> {
+    let counts = (0..6_u32, 0..4_usize, any::<bool>());
+    (0..8_u64, counts, 0..400_u64, prop::option::of(0..6_u64)).prop_map(
+        |(step, (open, running, awaited), due_s, min_version)| Job {
+            step,
+            open: (0..open).map(|slot| Key { group: 0, slot }).collect(),
+            running,
+            missing: open as usize + running,
+            due: NOW.after(Duration::from_secs(due_s)),
+            awaited,
+            min_version,
+        },
+    )
+}
+
+fn view() -> impl Strategy<Value = View> {
+    let sample_time = prop::option::of((1..40_u64).prop_map(Duration::from_secs));
+    (0..12_usize, prop::option::of(0..6_u64), sample_time, 0.0..1.0_f64).prop_map(
+        |(quota, newest, sample_time, idle_share)| View { quota, newest, sample_time, idle_share },
+    )
+}
+
+/// One start at a time: the most urgent round that may start gives its first slot.
+fn plain(jobs: &[Job], view: &View) -> Vec<Start> {
+    let mut jobs = jobs.to_vec();
+    let mut starts = Vec::new();
+    let running: usize = jobs.iter().map(|job| job.running).sum();
+    while running + starts.len() < view.quota {
+        let mut best: Option<usize> = None;
+        for (index, job) in jobs.iter().enumerate() {
+            let urgency = |job: &Job| (job.awaited, std::cmp::Reverse(job.step));
+            let better = best.is_none_or(|best| urgency(job) > urgency(&jobs[best]));
+            if !job.open.is_empty() && is_due(job, view) && better {
+                best = Some(index);
+            }
+        }
+        let Some(best) = best else { break };
+        let key = jobs[best].open.remove(0);
+        starts.push(Start { step: jobs[best].step, key, min_version: jobs[best].min_version });
+    }
+    starts
+}
+
+fn is_due(job: &Job, view: &View) -> bool {
+    if let (Some(min), Some(newest)) = (job.min_version, view.newest)
+        && newest < min
+    {
+        return false;
+    }
+    let Some(sample) = view.sample_time else { return true };
+    let waves = job.missing.div_ceil(view.quota.max(1)) + 1;
+    let needed = sample.as_secs_f64() * f64::from(u32::try_from(waves).expect("small"));
+    let left = job.due.since(NOW).as_secs_f64();
+    job.awaited || job.running > 0 || needed * (1.5 + 4.5 * view.idle_share) >= left
+}
+
+/// Guards against starts beyond the quota, of the wrong round, or of samples too old to be of use.
+#[test]
+fn can_agree_with_a_plain_scheduler() {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = Config { cases: 5_000, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let cases = (prop::collection::vec(job(), 0..5), view());
+    let result = runner.run(&cases, |(mut jobs, view)| {
+        jobs.sort_by_key(|job| job.step);
+        jobs.dedup_by_key(|job| job.step);
+        let starts = plan(Policy::Production, &jobs, &view, NOW);
+        prop_assert_eq!(starts, plain(&jobs, &view));
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+/// Time that a trainer waits for five rounds posted at once, with one slow sample per round.
+fn idle(policy: Policy, seed: u64) -> Duration {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let second = Duration::from_secs(1);
+    let mut now = Instant::from_millis(1_000);
+    let mut open: Vec<Vec<Key>> = vec![(0..16).map(|slot| Key { group: 0, slot }).collect(); 5];
+    let mut running: Vec<(u64, Instant)> = Vec::new();
+    let (mut step, mut idle, mut training) = (0, Duration::ZERO, Instant::default());
+    while step < 5 {
+        running.retain(|(_, end)| *end > now);
+        let count = |step: u64| running.iter().filter(|(of, _)| *of == step).count();
+        let jobs: Vec<Job> = (0_u64..)
+            .zip(&open)
+            .skip(step)
+            .map(|(of, open)| Job {
+                step: of,
+                open: open.clone(),
+                running: count(of),
+                missing: open.len() + count(of),
+                due: Instant::from_millis(1_000)
+                    .after(second * 30 * u32::try_from(of).expect("small")),
+                awaited: of == step as u64 && training <= now,
+                min_version: None,
+            })
+            .collect();
+        if training <= now && jobs[0].missing == 0 {
+            (step, training) = (step + 1, now.after(second * 20));
+            continue;
+        }
+        idle += if training <= now { second } else { Duration::ZERO };
+        let sample_time = Some(second * 8);
+        let view = View { quota: 8, newest: None, sample_time, idle_share: 0.7 };
+        for start in plan(policy, &jobs, &view, now) {
+            let slow = start.key.slot == 15;
+            let length = 6 + rng.next_u64() % 5 + if slow { 30 } else { 0 };
+            let of = usize::try_from(start.step).expect("small");
+            open[of].retain(|key| *key != start.key);
+            running.push((start.step, now.after(Duration::from_secs(length))));
+        }
+        now = now.after(second);
+    }
+    idle
+}
+
+/// Guards against rounds side by side that leave the trainer waiting longer than one at a time.
+#[test]
+fn can_wait_less_than_one_round_at_a_time() {
+    for seed in 1..=5 {
+        let (production, naive) = (idle(Policy::Production, seed), idle(Policy::Naive, seed));
+        println!("seed {seed}: idle {production:?} of {naive:?}");
+        assert!(production < naive, "seed {seed}: {production:?} against {naive:?}");
+    }
+}
