Second starts: leave out the worker of the first attempt

A controller learned the worker of an attempt only at its end, so a second start could land on the same worker. The controller passes its metrics registry to the agent, which main needs to build.

--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -117,7 +117,12 @@
     let table: Table = table::resolve::Client::new(client, budget.clone());
     let times = lease::Times::default();
     let seeds = settings.peers.seeds.clone();
-    let fleet = agent::Settings { seeds, lease: times, budget: Some(budget) };
+    let fleet = agent::Settings {
+        seeds,
+        lease: times,
+        budget: Some(budget),
+        metrics: Some(metrics.clone()),
+    };
     // The agent stops last: leases are released when nothing acts under them any more.
     let agent_stop = CancellationToken::new();
     let agent = agent::start(identity, fleet, table.clone(), agent_stop.clone());
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -10,7 +10,7 @@
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{
     round::{Attempt, Finish, Key},
-    scheduler::{self, Job, View},
+    scheduler::{self, Job, Start, View},
     straggler,
 };
 use filbertsail_telemetry::event::Line;
@@ -90,7 +90,7 @@
         let jobs: Vec<Job> = self.jobs();
         let view = self.view(&jobs);
         for start in scheduler::plan(self.ports.policy, &jobs, &view, now) {
-            self.start(start.step, start.key, start.min_version, Vec::new());
+            self.start(start, None);
         }
         if self.ports.policy.hedges() {
             self.hedge(now, view.quota);
@@ -140,9 +140,12 @@
                     return;
                 }
                 free -= 1;
-                let first = self.works[&step].round.slot(key).attempts[0].id;
-                let avoid = vec![self.request_id(step, key, first)];
-                self.start(step, key, self.forecast.oldest_useful(step, bound), avoid);
+                let work = &self.works[&step];
+                let first = work.round.slot(key).attempts[0].id;
+                let worker = work.running.get(&first).and_then(|running| running.worker.clone());
+                let start =
+                    Start { step, key, min_version: self.forecast.oldest_useful(step, bound) };
+                self.start(start, Some(worker));
             }
         }
     }
@@ -151,10 +154,12 @@
         format!("{}/{step}/{key}/{}.{attempt}", self.trainer, self.epoch)
     }
 
-    /// Starts an attempt; `avoid` names the attempt that it is a second start of.
-    fn start(&mut self, step: u64, key: Key, min_version: Option<u64>, avoid: Vec<String>) {
+    /// Starts an attempt; for a second start `first` is the worker of the first one, if known.
+    fn start(&mut self, start: Start, first: Option<Option<String>>) {
+        let Start { step, key, min_version } = start;
         self.attempts += 1;
-        let (attempt, hedge) = (self.attempts, !avoid.is_empty());
+        let (attempt, hedge) = (self.attempts, first.is_some());
+        let avoid = first.flatten().into_iter().collect();
         let plan = self.plan.borrow().clone();
         let work = &self.works[&step];
         let dispatch = Dispatch {
@@ -176,14 +181,19 @@
             .info();
         let tokens = Arc::new(AtomicU32::new(0));
         let (gateways, counter) = (self.ports.gateways.clone(), tokens.clone());
+        let sender = self.sender.clone();
+        let placed = move |worker| {
+            // Fails only after the end of the term.
+            let _ = sender.send(Event::Placed(step, attempt, worker));
+        };
         let abort = self.spawn(async move {
-            let result = attempt::run(gateways, dispatch, counter).await;
+            let result = attempt::run(gateways, dispatch, counter, placed).await;
             Event::Attempt(attempt::Outcome { step, key, attempt, result })
         });
         let started = self.ports.clock.now();
         if let Some(work) = self.works.get_mut(&step) {
             work.round.begin(key, Attempt { id: attempt, started, hedge, tokens: 0 });
-            work.running.insert(attempt, Running { abort, tokens });
+            work.running.insert(attempt, Running { abort, tokens, worker: None });
         }
     }
 
--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -30,6 +30,8 @@
     pub abort: AbortHandle,
     /// Tokens received.
     pub tokens: Arc<AtomicU32>,
+    /// Worker chosen, once known.
+    pub worker: Option<String>,
 }
 
 impl Running {
