--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -136,7 +136,8 @@
             self.wave = None;
             self.reports.clear();
             let now = self.ports.clock.now();
-            self.reports_from = holding.map_or(now, |it| it.orders_from.max(now));
+            let waits = holding.filter(|_| !self.rules.borrow().checks_fence);
+            self.reports_from = waits.map_or(now, |it| it.orders_from.max(now));
         }
         self.holding = holding;
     }
--- a/components/controller/tests/support/engine.rs
+++ b/components/controller/tests/support/engine.rs
@@ -9,9 +9,10 @@
     time::Duration,
 };
 
+use filbertsail_clock::{Boot, Instant, Source};
 use filbertsail_wire::{
     Frame,
-    frame::{Dispatch, Finish, Hello, Label, Placed, Token, Worker, Workers},
+    frame::{Dispatch, Finish, Hello, Label, Order, Outcome, Placed, Token, Worker, Workers},
     link::server::{Handler, Sender},
 };
 use tokio::time::sleep;
@@ -24,14 +25,19 @@
     pub lies: Arc<AtomicBool>,
     /// First attempts at the slots named, as `group/slot`, take this long.
     pub slow: Arc<Mutex<HashMap<String, Duration>>>,
-    /// Requests received, by slot.
+    /// Requests received.
     pub seen: Arc<Mutex<Vec<Dispatch>>>,
+    /// Orders received, with the time of arrival.
+    pub orders: Arc<Mutex<Vec<(Instant, Order)>>>,
+    /// Highest fencing number seen; orders with a lower one are refused.
+    pub epoch: Arc<AtomicU64>,
 }
 
 impl Default for Engine {
     fn default() -> Self {
         let version = Arc::new(AtomicU64::new(1));
-        Self { version, lies: Arc::default(), slow: Arc::default(), seen: Arc::default() }
+        let (lies, slow, seen, orders, epoch) = Default::default();
+        Self { version, lies, slow, seen, orders, epoch }
     }
 }
 
@@ -68,6 +74,16 @@
             replies.send(Finish { worker: "kettle-1".to_owned(), tokens: 4, labels, text }).await;
     }
 
+    fn order(&self, order: Order) -> Outcome {
+        let epoch = self.epoch.fetch_max(order.epoch, Ordering::SeqCst).max(order.epoch);
+        let accepted = order.epoch == epoch;
+        if accepted {
+            self.version.store(order.load_version, Ordering::SeqCst);
+        }
+        self.orders.lock().expect("lock").push((Boot.now(), order));
+        Outcome { accepted, weight_version: None, epoch }
+    }
+
     fn workers(&self) -> Workers {
         let worker = Worker {
             name: "kettle-1".to_owned(),
@@ -92,6 +108,10 @@
                 // The caller may be gone.
                 let _ = replies.send(self.workers()).await;
             }
+            Frame::Order(order) => {
+                // The caller may be gone.
+                let _ = replies.send(self.order(order)).await;
+            }
             other => panic!("unexpected call: {other:?}"),
         }
     }
--- a/components/rollout/src/straggler/mod.rs
+++ b/components/rollout/src/straggler/mod.rs
@@ -73,3 +73,22 @@
     let middle = times.len() / 2;
     Some(*times.select_nth_unstable(middle).1)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Budget;
+
+    /// Guards against second starts whose losers cost more than the budget, whichever one wins.
+    #[test]
+    fn can_keep_extra_tokens_in_budget() {
+        let mut budget = Budget { won: 1_000, ..Budget::default() };
+        assert!(budget.reserve(60));
+        assert!(!budget.reserve(60));
+        assert!(budget.reserve(40));
+        budget.settle(60, 60);
+        assert!(!budget.reserve(1));
+        budget.settle(40, 10);
+        assert!(budget.reserve(30));
+        assert_eq!((budget.lost, budget.reserved), (70, 30));
+    }
+}
