--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     gateways::{Gateway, Links},
+    metrics::Metrics,
     peers::{Peers, Trainers},
     trainer, weights,
 };
@@ -107,6 +108,7 @@
         security.tls_cert_file.as_deref(),
         security.tls_key_file.as_deref(),
     )?;
+    let instruments = Metrics::new(&metrics);
     let admin = bind(settings.listen.admin).await?;
     let peers = bind(settings.listen.peers).await?;
     let (admin_address, peer_address) = (admin.local_addr()?, peers.local_addr()?);
@@ -141,12 +143,14 @@
             key: key.clone(),
             http: Http::default(),
             policy,
+            metrics: instruments.clone(),
         },
         weights: weights::Ports {
             weights: weight::http::Client::new(settings.platform.weights),
             gateways: links,
             clock: Boot,
             order_life: times.order_life,
+            metrics: instruments,
         },
     };
     let listeners = CancellationToken::new();
--- a/components/controller/src/lib.rs
+++ b/components/controller/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod daemon;
 pub mod gateways;
+pub mod metrics;
 pub mod peers;
 pub mod plan;
 pub mod trainer;
--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -141,12 +141,14 @@
             let (trainer, epoch) = (self.trainer.clone(), self.epoch);
             Cursor { trainer, epoch, taken }.seal(&self.ports.key)
         });
+        let way = if cursor.is_some() { "cursor" } else { "committed" };
+        self.ports.metrics.batch(&self.trainer, way);
         Line::new("batch_delivered")
             .with("trainer", &self.trainer)
             .with("step", step)
             .with("epoch", self.epoch)
             .with("digest", &manifest.digest)
-            .with("reason", if cursor.is_some() { "cursor" } else { "committed" })
+            .with("reason", way)
             .info();
         let groups = self.groups(step, &manifest);
         let (store, trainer, epoch) = (self.ports.store.clone(), self.trainer.clone(), self.epoch);
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{gateways::Gateways, peers::not_holder, plan::Plan};
+use crate::{gateways::Gateways, metrics::Metrics, peers::not_holder, plan::Plan};
 use term::Term;
 
 /// Commands that wait for the task.
@@ -47,6 +47,8 @@
     pub http: Http,
     /// How rounds are worked off.
     pub policy: Policy,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 /// Message to the task.
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -69,6 +69,7 @@
             }
             let dropped = work.drop_stale(version);
             if !dropped.is_empty() {
+                self.ports.metrics.replaced(&self.trainer, dropped.len());
                 Line::new("samples_replaced")
                     .with("trainer", &self.trainer)
                     .with("step", step)
@@ -159,6 +160,9 @@
         let Start { step, key, min_version } = start;
         self.attempts += 1;
         let (attempt, hedge) = (self.attempts, first.is_some());
+        if hedge {
+            self.ports.metrics.second_start(&self.trainer);
+        }
         let avoid = first.flatten().into_iter().collect();
         let plan = self.plan.borrow().clone();
         let work = &self.works[&step];
@@ -209,6 +213,7 @@
                 self.won(step, key, attempt, sample, &worker);
             }
             Err(reason) => {
+                self.ports.metrics.sample(&self.trainer, "failed");
                 work.round.fail(key, attempt);
                 if pair {
                     self.budget.settle(work.posted.max_tokens, running.tokens());
@@ -241,9 +246,13 @@
             let Some(running) = work.running.remove(&loser) else { continue };
             running.abort.abort();
             self.budget.settle(work.posted.max_tokens, running.tokens());
+            self.ports.metrics.tokens(&self.trainer, "lost", running.tokens());
         }
+        self.ports.metrics.sample(&self.trainer, "whole");
+        self.ports.metrics.tokens(&self.trainer, "won", tokens);
         self.budget.won += u64::from(tokens);
         if let Some(took) = took {
+            self.ports.metrics.sample_time(&self.trainer, took.as_secs_f64());
             self.sample_time = Some(self.sample_time.map_or(took, |usual| {
                 usual.mul_f64(1.0 - TIME_WEIGHT) + took.mul_f64(TIME_WEIGHT)
             }));
--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -20,7 +20,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::gateways::Gateways;
+use crate::{gateways::Gateways, metrics::Metrics};
 
 /// Time between two looks at the workers.
 const TICK: Duration = Duration::from_millis(200);
@@ -54,6 +54,8 @@
     pub clock: C,
     /// Longest time for which an order may take effect.
     pub order_life: Duration,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 enum Event {
@@ -286,6 +288,12 @@
 
     fn answered(&mut self, worker: &str, answer: Result<Outcome, Failure>) {
         let Some(holding) = self.holding else { return };
+        let result = match &answer {
+            Ok(outcome) if outcome.accepted => "accepted",
+            Ok(_) => "refused",
+            Err(_) => "failed",
+        };
+        self.ports.metrics.order(&self.rules.borrow().service, result);
         match answer {
             Ok(outcome) if outcome.accepted => {}
             Ok(outcome) if outcome.epoch > holding.epoch => {
--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use filbertsail_cluster::lease::Holding;
 use filbertsail_controller::{
     gateways::{Gateway, Links},
+    metrics::Metrics,
     peers::Trainers,
     plan::Plan,
     trainer::{COMMAND_QUEUE, Ports, run},
@@ -38,6 +39,7 @@
     reach::{Directory, Peers},
     row,
 };
+use filbertsail_telemetry::metrics::Registry;
 use filbertsail_wire::{
     Frame,
     frame::{Fetch, Hello},
@@ -81,6 +83,10 @@
     }
 }
 
+pub fn metrics() -> Metrics {
+    Metrics::new(&Registry::new("test").expect("registry"))
+}
+
 /// Names and peer ports of controllers.
 #[derive(Clone, Default)]
 pub struct Names(Arc<Mutex<Vec<(String, SocketAddr)>>>);
@@ -146,6 +152,7 @@
             key: key(),
             http: Http::default(),
             policy,
+            metrics: metrics(),
         };
         let (holding, held) = watch::channel(None);
         let (_, plan) = watch::channel(plan());
--- a/components/controller/tests/weights.rs
+++ b/components/controller/tests/weights.rs
@@ -14,7 +14,7 @@
 use filbertsail_platform::weight::{Error, Store};
 use filbertsail_rollout::wave;
 use filbertsail_wire::frame::Order;
-use support::{Fleet, hello, key};
+use support::{Fleet, hello, key, metrics};
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -43,6 +43,7 @@
         gateways: Links::new(known, key(), hello("controller-1")),
         clock: Boot,
         order_life: Duration::from_secs(5),
+        metrics: metrics(),
     };
     let wave = wave::Rules { min_serving: 0.0, haste: 1.0 };
     let rules = Rules { service: SERVICE.to_owned(), checks_fence, wave };
