Second starts: go to the gateway of the first attempt

The gateway now finds the worker of an attempt by its request identifier and leaves it out, which makes the frame Placed needless; it also ended calls early whose caller waits for one reply.

Measured: cargo test -p filbertsail-controller, all pass.

--- a/components/controller/src/gateways/mod.rs
+++ b/components/controller/src/gateways/mod.rs
@@ -61,8 +61,15 @@
 
 /// Calls gateways.
 pub trait Gateways: Clone + Send + Sync + 'static {
-    /// Sends a request to a gateway and returns its replies.
-    fn call(&self, request: Frame) -> impl Future<Output = Result<Replies, Error>> + Send;
+    /// Gateway for a new call, if any is known.
+    fn choose(&self) -> Option<SocketAddr>;
+
+    /// Sends a request to `gateway` and returns its replies.
+    fn call(
+        &self,
+        gateway: Option<SocketAddr>,
+        request: Frame,
+    ) -> impl Future<Output = Result<Replies, Error>> + Send;
 
     /// Sends a request to a gateway and returns its only reply.
     fn ask(
@@ -72,7 +79,7 @@
     ) -> impl Future<Output = Result<Frame, Error>> + Send {
         async move {
             let reply = async {
-                let reply = self.call(request).await?.next().await?;
+                let reply = self.call(self.choose(), request).await?.next().await?;
                 reply.ok_or(Error::Link(link::Error::Unexpected))
             };
             match time::timeout(limit, reply).await {
@@ -100,15 +107,6 @@
         Self { known, key, hello, links: Arc::default() }
     }
 
-    fn choose(&self) -> Option<SocketAddr> {
-        let known = self.known.borrow();
-        let near: Vec<&Gateway> =
-            known.iter().filter(|gateway| gateway.zone == self.hello.zone).collect();
-        let mut rng = rand::rng();
-        let near = near.choose(&mut rng).copied();
-        near.or_else(|| known.choose(&mut rng)).map(|gateway| gateway.address)
-    }
-
     async fn link(&self, address: SocketAddr) -> Result<Client, Error> {
         let mut links = self.links.lock().await;
         if let Some(link) = links.get(&address) {
@@ -123,9 +121,17 @@
 }
 
 impl Gateways for Links {
-    async fn call(&self, request: Frame) -> Result<Replies, Error> {
-        let address = self.choose().ok_or(Error::NoGateway)?;
-        let link = self.link(address).await?;
+    fn choose(&self) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        let near: Vec<&Gateway> =
+            known.iter().filter(|gateway| gateway.zone == self.hello.zone).collect();
+        let mut rng = rand::rng();
+        let near = near.choose(&mut rng).copied();
+        near.or_else(|| known.choose(&mut rng)).map(|gateway| gateway.address)
+    }
+
+    async fn call(&self, gateway: Option<SocketAddr>, request: Frame) -> Result<Replies, Error> {
+        let link = self.link(gateway.ok_or(Error::NoGateway)?).await?;
         Ok(link.call(&request).await?)
     }
 }
--- a/components/controller/src/trainer/attempt.rs
+++ b/components/controller/src/trainer/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a sample: a dispatch through a gateway and the check of its label.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -14,7 +15,7 @@
 };
 use filbertsail_wire::{
     Frame,
-    frame::{Dispatch, Finish, Placed, Token},
+    frame::{Dispatch, Finish, Token},
 };
 use tokio::time;
 
@@ -35,16 +36,16 @@
     pub result: Result<(Sample, String), String>,
 }
 
-/// Runs one attempt; `tokens` counts the tokens received, `placed` learns of the worker.
+/// Runs one attempt at `gateway`; `tokens` counts the tokens received.
 pub async fn run<G: Gateways>(
     gateways: G,
+    gateway: Option<SocketAddr>,
     dispatch: Dispatch,
     tokens: Arc<AtomicU32>,
-    placed: impl Fn(String),
 ) -> Result<(Sample, String), String> {
     let limit = Duration::from_millis(dispatch.deadline_ms) + GRACE;
     let started = time::Instant::now();
-    let answer = time::timeout(limit, receive(gateways, dispatch, &tokens, placed)).await;
+    let answer = time::timeout(limit, receive(gateways, gateway, dispatch, &tokens)).await;
     let (stream, finish) = answer.map_err(|_| "timed out".to_owned())??;
     let mut sample = check(&stream, &finish)?;
     sample.took = Some(started.elapsed());
@@ -53,11 +54,12 @@
 
 async fn receive<G: Gateways>(
     gateways: G,
+    gateway: Option<SocketAddr>,
     dispatch: Dispatch,
     tokens: &AtomicU32,
-    placed: impl Fn(String),
 ) -> Result<(Vec<Token>, Finish), String> {
-    let mut replies = gateways.call(dispatch.into()).await.map_err(|error| error.to_string())?;
+    let mut replies =
+        gateways.call(gateway, dispatch.into()).await.map_err(|error| error.to_string())?;
     let mut stream: Vec<Token> = Vec::new();
     loop {
         match replies.next().await.map_err(|error| error.to_string())? {
@@ -66,7 +68,6 @@
                 tokens.store(u32::try_from(stream.len()).unwrap_or(u32::MAX), Ordering::Relaxed);
             }
             Some(Frame::Token(token)) => return Err(format!("token {} out of turn", token.index)),
-            Some(Frame::Placed(Placed { worker })) => placed(worker),
             Some(Frame::Finish(finish)) => return Ok((stream, finish)),
             Some(Frame::Fault(fault)) => return Err(fault.code),
             Some(_) => return Err("unexpected frame".to_owned()),
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -68,8 +68,6 @@
 /// Result of background work.
 enum Event {
     Attempt(attempt::Outcome),
-    /// Attempt at a step and the worker that was chosen for it.
-    Placed(u64, u64, String),
     Scored(score::Outcome),
     Put(store::Outcome),
     Table(ops::Outcome),
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -141,12 +141,9 @@
                     return;
                 }
                 free -= 1;
-                let work = &self.works[&step];
-                let first = work.round.slot(key).attempts[0].id;
-                let worker = work.running.get(&first).and_then(|running| running.worker.clone());
-                let start =
-                    Start { step, key, min_version: self.forecast.oldest_useful(step, bound) };
-                self.start(start, Some(worker));
+                let first = self.works[&step].round.slot(key).attempts[0].id;
+                let min_version = self.forecast.oldest_useful(step, bound);
+                self.start(Start { step, key, min_version }, Some(first));
             }
         }
     }
@@ -155,15 +152,19 @@
         format!("{}/{step}/{key}/{}.{attempt}", self.trainer, self.epoch)
     }
 
-    /// Starts an attempt; for a second start `first` is the worker of the first one, if known.
-    fn start(&mut self, start: Start, first: Option<Option<String>>) {
+    /// Starts an attempt; for a second start `first` is the number of the first one.
+    fn start(&mut self, start: Start, first: Option<u64>) {
         let Start { step, key, min_version } = start;
         self.attempts += 1;
         let (attempt, hedge) = (self.attempts, first.is_some());
         if hedge {
             self.ports.metrics.second_start(&self.trainer);
         }
-        let avoid = first.flatten().into_iter().collect();
+        // The gateway of the first attempt knows its worker and gives the second start to another.
+        let running = first.and_then(|first| self.works[&step].running.get(&first));
+        let near = running.and_then(|running| running.gateway);
+        let gateway = near.or_else(|| self.ports.gateways.choose());
+        let avoid = first.map(|first| self.request_id(step, key, first)).into_iter().collect();
         let plan = self.plan.borrow().clone();
         let work = &self.works[&step];
         let dispatch = Dispatch {
@@ -185,19 +186,14 @@
             .info();
         let tokens = Arc::new(AtomicU32::new(0));
         let (gateways, counter) = (self.ports.gateways.clone(), tokens.clone());
-        let sender = self.sender.clone();
-        let placed = move |worker| {
-            // Fails only after the end of the term.
-            let _ = sender.send(Event::Placed(step, attempt, worker));
-        };
         let abort = self.spawn(async move {
-            let result = attempt::run(gateways, dispatch, counter, placed).await;
+            let result = attempt::run(gateways, gateway, dispatch, counter).await;
             Event::Attempt(attempt::Outcome { step, key, attempt, result })
         });
         let started = self.ports.clock.now();
         if let Some(work) = self.works.get_mut(&step) {
             work.round.begin(key, Attempt { id: attempt, started, hedge, tokens: 0 });
-            work.running.insert(attempt, Running { abort, tokens, worker: None });
+            work.running.insert(attempt, Running { abort, tokens, gateway });
         }
     }
 
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -217,12 +217,6 @@
     fn event(&mut self, event: Event) {
         match event {
             Event::Attempt(outcome) => self.attempt_ended(outcome),
-            Event::Placed(step, attempt, worker) => {
-                let work = self.works.get_mut(&step);
-                if let Some(running) = work.and_then(|work| work.running.get_mut(&attempt)) {
-                    running.worker = Some(worker);
-                }
-            }
             Event::Scored(outcome) => {
                 if let Some(work) = self.works.get_mut(&outcome.step) {
                     work.scoring.remove(&(outcome.key, outcome.text.clone()));
--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -30,8 +31,8 @@
     pub abort: AbortHandle,
     /// Tokens received.
     pub tokens: Arc<AtomicU32>,
-    /// Worker chosen, once known.
-    pub worker: Option<String>,
+    /// Gateway that runs it.
+    pub gateway: Option<SocketAddr>,
 }
 
 impl Running {
--- a/components/gateway/src/callers/completion/mod.rs
+++ b/components/gateway/src/callers/completion/mod.rs
@@ -115,11 +115,6 @@
     let mut next = Some(first);
     while let Some(item) = next {
         let part = match &item {
-            // Callers do not learn where their answer comes from.
-            Item::Placed(_) => {
-                next = items.recv().await;
-                continue;
-            }
             Item::Token(event) => shape.token(event),
             Item::Whole(whole) => shape.end(whole),
             Item::Fault(fault) => shape.fault(fault),
--- a/components/gateway/src/generate/mod.rs
+++ b/components/gateway/src/generate/mod.rs
@@ -79,8 +79,6 @@
 pub enum Item {
     /// Token, if the plan streams.
     Token(Event),
-    /// Worker chosen for a sample.
-    Placed(String),
     /// End; the answer is whole.
     Whole(Whole),
     /// End; the answer is not whole.
@@ -115,10 +113,6 @@
         let grant = grant.map_err(|refusal| Fault::from(refusal).after(verdict))?;
         let started = context.now();
         let worker = grant.server.name.clone();
-        if plan.class == Class::Rollout {
-            // Fails if the caller is gone.
-            let _ = sink.send(Item::Placed(worker.clone())).await;
-        }
         let failure = match attempt_in_time(context, plan, &grant, &mut progress, sink).await {
             Ok(reason) => {
                 grant.finish(Outcome::Success { took: context.now().since(started) });
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -10,7 +10,7 @@
 use filbertsail_errors as errors;
 use filbertsail_wire::{
     Frame,
-    frame::{Dispatch, Finish, Hello, Label, Order, Outcome, Placed, Survey, Token, Workers},
+    frame::{Dispatch, Finish, Hello, Label, Order, Outcome, Survey, Token, Workers},
     link::server::{Handler, Sender},
 };
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
@@ -75,7 +75,7 @@
         let forward = async {
             while let Some(item) = items.recv().await {
                 match &item {
-                    Item::Token(_) | Item::Placed(_) => {}
+                    Item::Token(_) => {}
                     Item::Whole(_) => self.context.metrics.sample("whole"),
                     Item::Fault(_) => self.context.metrics.sample("fault"),
                 }
@@ -179,7 +179,6 @@
             Token { index: event.index, text: event.text, weight_version: event.weight_version }
                 .into()
         }
-        Item::Placed(worker) => Placed { worker }.into(),
         Item::Whole(whole) => Finish {
             worker: whole.worker,
             tokens: whole.tokens,
--- a/components/wire/src/codec/mod.rs
+++ b/components/wire/src/codec/mod.rs
@@ -128,7 +128,6 @@
     15 => Pull,
     16 => Config,
     17 => Done,
-    18 => Placed,
 }
 
 fn assemble(kind: u16, body: &[u8]) -> Result<Bytes, Error> {
--- a/components/wire/src/frame/mod.rs
+++ b/components/wire/src/frame/mod.rs
@@ -43,8 +43,6 @@
     Config(Config),
     /// Empty answer.
     Done(Done),
-    /// Worker chosen for a dispatched request.
-    Placed(Placed),
 }
 
 /// Identity of a daemon, sent at the start of each connection.
@@ -113,13 +111,6 @@
     pub weight_version: u64,
 }
 
-/// Worker chosen for a dispatched request; sent again if the request moves to another one.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Placed {
-    /// Worker name.
-    pub worker: String,
-}
-
 /// End of a dispatched request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Finish {
