--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -30,6 +31,8 @@
     pub abort: AbortHandle,
     /// Tokens received.
     pub tokens: Arc<AtomicU32>,
+    /// Gateway that runs it.
+    pub gateway: Option<SocketAddr>,
 }
 
 impl Running {
