--- a/components/admin/tests/tokens.rs
+++ b/components/admin/tests/tokens.rs
@@ -147,7 +147,7 @@
     }
 }
 
-/// Guards against metrics that miss requests, keep them in flight, or take a caller's word as label.
+/// Guards against metrics that miss requests, keep them in flight, or use any method a caller invents as a label.
 #[tokio::test]
 async fn can_count_requests() {
     let address = start(Counting::default()).await;
--- a/components/http/tests/limits.rs
+++ b/components/http/tests/limits.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time after which an outcome counts as absent.
-const PATIENCE: Duration = Duration::from_secs(30);
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(30);
 const SHORT: Duration = Duration::from_millis(80);
 /// Larger than the socket buffers of both ends.
 const LARGE_BYTES: usize = 64 * 1024 * 1024;
@@ -76,7 +76,7 @@
     stream.write_all(text.as_bytes()).await.expect("writes");
     let mut answer = Vec::new();
     // A reset ends the connection as well as an orderly close.
-    let _ = timeout(PATIENCE, stream.read_to_end(&mut answer)).await.expect("server closes");
+    let _ = timeout(OUTCOME_TIMEOUT, stream.read_to_end(&mut answer)).await.expect("server closes");
     String::from_utf8_lossy(&answer).into_owned()
 }
 
@@ -134,9 +134,9 @@
         stream.write_all(request.as_bytes()).await.expect("writes");
         stream.readable().await.expect("answer starts");
         server.stop.cancel();
-        timeout(PATIENCE, server.task).await.expect("server ends").expect("no panic");
+        timeout(OUTCOME_TIMEOUT, server.task).await.expect("server ends").expect("no panic");
         let mut answer = Vec::new();
-        let _ = timeout(PATIENCE, stream.read_to_end(&mut answer)).await.expect("closed");
+        let _ = timeout(OUTCOME_TIMEOUT, stream.read_to_end(&mut answer)).await.expect("closed");
         assert!(answer.len() < LARGE_BYTES, "{path}: {} bytes", answer.len());
     }
 }
@@ -152,7 +152,7 @@
     let request = Request::get("http://a/stream").body(Body::empty()).expect("request");
     let response = sender.send_request(request).await.expect("answer starts");
     server.stop.cancel();
-    timeout(PATIENCE, server.task).await.expect("server ends").expect("no panic");
+    timeout(OUTCOME_TIMEOUT, server.task).await.expect("server ends").expect("no panic");
     assert!(response.into_body().collect().await.is_err(), "a whole answer of {LARGE_BYTES} bytes");
 }
 
@@ -177,5 +177,5 @@
             }
         }
     };
-    assert_eq!(&timeout(PATIENCE, freed).await.expect("slot is freed"), b"HTTP/1.1 200");
+    assert_eq!(&timeout(OUTCOME_TIMEOUT, freed).await.expect("slot is freed"), b"HTTP/1.1 200");
 }
--- a/components/http/tests/tls.rs
+++ b/components/http/tests/tls.rs
@@ -51,8 +51,8 @@
     let timeout = Duration::from_secs(30);
     let trusting = Client::with_tls(trust(&cert).expect("root"));
     assert_eq!(trusting.send(get("https"), timeout).await.expect("answer").body(), "ok");
-    let wary = Client::with_tls(trust(&other).expect("root"));
-    let refused = wary.send(get("https"), timeout).await;
+    let other_root = Client::with_tls(trust(&other).expect("root"));
+    let refused = other_root.send(get("https"), timeout).await;
     assert!(matches!(refused, Err(Error::Connect(_))), "{refused:?}");
     let plain = Client::default().send(get("http"), timeout).await;
     assert!(matches!(plain, Err(Error::Broken(_))), "{plain:?}");
