--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -10,7 +10,7 @@
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{
     round::{Attempt, Finish, Key},
-    scheduler::{self, Job, View},
+    scheduler::{self, Job, Start, View},
     straggler,
 };
 use filbertsail_telemetry::event::Line;
@@ -69,6 +69,7 @@
             }
             let dropped = work.drop_stale(version);
             if !dropped.is_empty() {
+                self.ports.metrics.replaced(&self.trainer, dropped.len());
                 Line::new("samples_replaced")
                     .with("trainer", &self.trainer)
                     .with("step", step)
@@ -90,7 +91,7 @@
         let jobs: Vec<Job> = self.jobs();
         let view = self.view(&jobs);
         for start in scheduler::plan(self.ports.policy, &jobs, &view, now) {
-            self.start(start.step, start.key, start.min_version, Vec::new());
+            self.start(start, None);
         }
         if self.ports.policy.hedges() {
             self.hedge(now, view.quota);
@@ -141,8 +142,8 @@
                 }
                 free -= 1;
                 let first = self.works[&step].round.slot(key).attempts[0].id;
-                let avoid = vec![self.request_id(step, key, first)];
-                self.start(step, key, self.forecast.oldest_useful(step, bound), avoid);
+                let min_version = self.forecast.oldest_useful(step, bound);
+                self.start(Start { step, key, min_version }, Some(first));
             }
         }
     }
@@ -151,10 +152,19 @@
         format!("{}/{step}/{key}/{}.{attempt}", self.trainer, self.epoch)
     }
 
-    /// Starts an attempt; `avoid` names the attempt that it is a second start of.
-    fn start(&mut self, step: u64, key: Key, min_version: Option<u64>, avoid: Vec<String>) {
+    /// Starts an attempt; for a second start `first` is the number of the first one.
+    fn start(&mut self, start: Start, first: Option<u64>) {
+        let Start { step, key, min_version } = start;
         self.attempts += 1;
-        let (attempt, hedge) = (self.attempts, !avoid.is_empty());
+        let (attempt, hedge) = (self.attempts, first.is_some());
+        if hedge {
+            self.ports.metrics.second_start(&self.trainer);
+        }
+        // The gateway of the first attempt knows its worker and gives the second start to another.
+        let running = first.and_then(|first| self.works[&step].running.get(&first));
+        let near = running.and_then(|running| running.gateway);
+        let gateway = near.or_else(|| self.ports.gateways.choose());
+        let avoid = first.map(|first| self.request_id(step, key, first)).into_iter().collect();
         let plan = self.plan.borrow().clone();
         let work = &self.works[&step];
         let dispatch = Dispatch {
@@ -177,13 +187,13 @@
         let tokens = Arc::new(AtomicU32::new(0));
         let (gateways, counter) = (self.ports.gateways.clone(), tokens.clone());
         let abort = self.spawn(async move {
-            let result = attempt::run(gateways, dispatch, counter).await;
+            let result = attempt::run(gateways, gateway, dispatch, counter).await;
             Event::Attempt(attempt::Outcome { step, key, attempt, result })
         });
         let started = self.ports.clock.now();
         if let Some(work) = self.works.get_mut(&step) {
             work.round.begin(key, Attempt { id: attempt, started, hedge, tokens: 0 });
-            work.running.insert(attempt, Running { abort, tokens });
+            work.running.insert(attempt, Running { abort, tokens, gateway });
         }
     }
 
@@ -199,6 +209,7 @@
                 self.won(step, key, attempt, sample, &worker);
             }
             Err(reason) => {
+                self.ports.metrics.sample(&self.trainer, "failed");
                 work.round.fail(key, attempt);
                 if pair {
                     self.budget.settle(work.posted.max_tokens, running.tokens());
@@ -231,9 +242,13 @@
             let Some(running) = work.running.remove(&loser) else { continue };
             running.abort.abort();
             self.budget.settle(work.posted.max_tokens, running.tokens());
+            self.ports.metrics.tokens(&self.trainer, "lost", running.tokens());
         }
+        self.ports.metrics.sample(&self.trainer, "whole");
+        self.ports.metrics.tokens(&self.trainer, "won", tokens);
         self.budget.won += u64::from(tokens);
         if let Some(took) = took {
+            self.ports.metrics.sample_time(&self.trainer, took.as_secs_f64());
             self.sample_time = Some(self.sample_time.map_or(took, |usual| {
                 usual.mul_f64(1.0 - TIME_WEIGHT) + took.mul_f64(TIME_WEIGHT)
             }));
--- a/components/http/src/server/watch.rs
+++ b/components/http/src/server/watch.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Notes bytes that were sent. The end of an answer may still be on its way when its request
+    /// is finished, and the connection is not idle until then.
+    pub(crate) fn sent(&self) {
+        self.lock().idle_since = Instant::now();
+    }
+
     /// Notes a request until the returned value is dropped.
     pub(crate) fn request(&self) -> InFlight {
         let mut state = self.lock();
@@ -92,7 +98,9 @@
         let Limits { idle_timeout, header_timeout, stall_timeout, .. } = self.limits;
         let idle = state.in_flight == 0 && now.duration_since(state.idle_since) > idle_timeout;
         let head = state.head_since.is_some_and(|since| now.duration_since(since) > header_timeout);
-        let unread = state.unread.values().any(|since| now.duration_since(*since) > stall_timeout);
+        // HTTP/2 holds an answer back without a blocked socket; with HTTP/1.1 the socket notices.
+        let unread = state.http2 == Some(true)
+            && state.unread.values().any(|since| now.duration_since(*since) > stall_timeout);
         idle && state.head_since.is_none() || head || unread
     }
 
