Bench: trainers state when they really need a batch

Rounds named a deadline of 60 s although the trainer needs the batch after one training step of 2 s. The largest number of tokens is now that of the longest straggler.

--- a/components/bench/src/run/mod.rs
+++ b/components/bench/src/run/mod.rs
@@ -220,7 +220,8 @@
                 token: world::trainer_token(&entry.name),
                 groups: 4,
                 group_size: 4,
-                max_tokens: TOKENS * 20,
+                // The longest straggler: 1.5 times the usual length, ten times.
+                max_tokens: TOKENS * 15,
                 bound: entry.staleness_bound,
                 train: Duration::from_secs(2),
                 ahead: 1,
--- a/components/bench/src/trainer/mod.rs
+++ b/components/bench/src/trainer/mod.rs
@@ -125,7 +125,7 @@
             group_size: *group_size,
             max_tokens: *max_tokens,
             staleness_bound: *bound,
-            deadline_ms: 60_000,
+            deadline_ms: self.time_to_need(),
             scorer: self.options.scorer.map(|scorer| scorer.to_string()),
         };
         let at = Boot.now();
@@ -149,6 +149,12 @@
         self.journal.write().rounds.push(round);
     }
 
+    /// Milliseconds until the batch of a round posted now is needed.
+    fn time_to_need(&self) -> u64 {
+        let ahead = u32::try_from(self.options.ahead).unwrap_or(u32::MAX);
+        u64::try_from((self.options.train * ahead).as_millis()).unwrap_or(u64::MAX)
+    }
+
     async fn fetch(&self, client: &mut Client, step: u64, wanted: Instant) {
         loop {
             let version = *self.version.borrow();
