--- a/components/bench/src/customer/mod.rs
+++ b/components/bench/src/customer/mod.rs
@@ -8,6 +8,7 @@
 };
 
 use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_errors::DEADLINE_HEADER;
 use filbertsail_http::{
     Body,
     client::{Client, Error},
@@ -49,6 +50,8 @@
     pub idempotent_path: String,
     /// Bearer token.
     pub token: String,
+    /// Time allowed per request, if customers state one.
+    pub deadline: Option<Duration>,
 }
 
 struct Inner {
@@ -96,6 +99,7 @@
     pub async fn run(&self, arrivals: Vec<Arrival>) {
         let start = tokio::time::Instant::now();
         let start_at = Boot.now();
+        self.0.journal.write().load_from = start_at;
         let mut calls = JoinSet::new();
         for arrival in arrivals {
             tokio::time::sleep_until(start + arrival.due).await;
@@ -111,7 +115,9 @@
         let mut attempts = Vec::new();
         while attempts.len() < MAX_ATTEMPTS {
             let attempt = self.attempt(&id, arrival.kind).await;
-            let repeat = may_repeat(arrival.kind, &attempt.outcome);
+            // A customer that states a deadline does not try again after it.
+            let late = self.0.targets.deadline.is_some();
+            let repeat = !late && may_repeat(arrival.kind, &attempt.outcome);
             attempts.push(attempt);
             if !repeat {
                 break;
@@ -186,6 +192,9 @@
         let mut request = Request::post(format!("http://{}{path}", gateway.callers))
             .header("content-type", "application/json")
             .header("authorization", format!("Bearer {}", targets.token));
+        if let Some(deadline) = targets.deadline {
+            request = request.header(DEADLINE_HEADER, deadline.as_millis().to_string());
+        }
         if kind == Kind::Keyed {
             request = request.header("idempotency-key", id);
         }
--- a/components/bench/src/journal/mod.rs
+++ b/components/bench/src/journal/mod.rs
@@ -174,6 +174,8 @@
 /// Everything seen in one run.
 #[derive(Clone, Debug, Default)]
 pub struct Pages {
+    /// Start of the load.
+    pub load_from: Instant,
     /// Customer requests.
     pub calls: Vec<Call>,
     /// Posted rounds.
--- a/components/bench/src/measure/mod.rs
+++ b/components/bench/src/measure/mod.rs
@@ -1,13 +1,13 @@
 //! Measures of a run.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     checker::{self, Records},
-    journal::Pages,
+    journal::{Call, Pages},
 };
 
 /// Mark in the prompts of samples.
@@ -33,7 +33,7 @@
     pub violations: BTreeMap<String, u64>,
     /// Customer requests.
     pub requests: u64,
-    /// Successful customer requests per second.
+    /// Customer requests per second that got their answer during the load.
     pub goodput: Option<f64>,
     /// Customer latency from the scheduled arrival.
     pub latency_ms: Option<Latency>,
@@ -81,7 +81,10 @@
     violations: BTreeMap<String, u64>,
     seconds: f64,
 ) -> Measure {
-    let answered = pages.calls.iter().filter(|call| call.succeeded()).count();
+    // Answers after the end of the load would count the work of a queue as goodput.
+    let end = pages.load_from.after(Duration::from_secs_f64(seconds));
+    let in_time = |call: &&Call| call.succeeded() && call.end <= end;
+    let answered = pages.calls.iter().filter(in_time).count();
     let has_calls = !pages.calls.is_empty();
     let time = pages.waited_s + pages.trained_s;
     Measure {
--- a/components/bench/src/run/mod.rs
+++ b/components/bench/src/run/mod.rs
@@ -170,6 +170,7 @@
         application: application.name.clone(),
         idempotent_path: path,
         token: CUSTOMER_TOKEN.to_owned(),
+        deadline: options.scenario.deadline,
     };
     let cut = CancellationToken::new();
     tokio::spawn(cut_on_stop(world.journal.clone(), cut.clone(), stop.clone()));
--- a/components/bench/src/scenario/catalogue.rs
+++ b/components/bench/src/scenario/catalogue.rs
@@ -10,6 +10,9 @@
 /// Time for which a holder freezes; longer than a lease.
 const FREEZE: Duration = Duration::from_secs(10);
 
+/// Time that customers allow under overload; six times the usual time of an answer.
+const CUSTOMER_DEADLINE: Duration = Duration::from_secs(2);
+
 /// Names of all scenarios.
 pub const ALL: [&str; 15] = [
     "steady",
@@ -47,6 +50,7 @@
         "steady" => Scenario::new("steady", "half load without faults"),
         "overload" => Scenario::new("overload", "customers at 1.5 of the engines' capacity")
             .load(1.5)
+            .deadline(CUSTOMER_DEADLINE)
             .mix(Mix::MODEL)
             .without_trainers(),
         "slow-worker" => {
--- a/components/bench/src/scenario/mod.rs
+++ b/components/bench/src/scenario/mod.rs
@@ -27,6 +27,8 @@
     pub trainers: bool,
     /// Share of samples that are ten times as long.
     pub stragglers: f64,
+    /// Time that customers allow per request; the service's own limit if absent.
+    pub deadline: Option<Duration>,
     /// Usual duration.
     pub duration: Duration,
     /// Faults by share of the duration.
@@ -42,6 +44,7 @@
             mix: Mix::ALL,
             trainers: true,
             stragglers: 0.0,
+            deadline: None,
             duration: Duration::from_secs(20),
             faults: Vec::new(),
         }
@@ -63,6 +66,10 @@
         Self { stragglers, ..self }
     }
 
+    fn deadline(self, deadline: Duration) -> Self {
+        Self { deadline: Some(deadline), ..self }
+    }
+
     fn lasting(self, seconds: u64) -> Self {
         Self { duration: Duration::from_secs(seconds), ..self }
     }
