--- a/components/controller/src/trainer/attempt.rs
+++ b/components/controller/src/trainer/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a sample: a dispatch through a gateway and the check of its label.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -35,15 +36,16 @@
     pub result: Result<(Sample, String), String>,
 }
 
-/// Runs one attempt; `tokens` counts the tokens received.
+/// Runs one attempt at `gateway`; `tokens` counts the tokens received.
 pub async fn run<G: Gateways>(
     gateways: G,
+    gateway: Option<SocketAddr>,
     dispatch: Dispatch,
     tokens: Arc<AtomicU32>,
 ) -> Result<(Sample, String), String> {
     let limit = Duration::from_millis(dispatch.deadline_ms) + GRACE;
     let started = time::Instant::now();
-    let answer = time::timeout(limit, receive(gateways, dispatch, &tokens)).await;
+    let answer = time::timeout(limit, receive(gateways, gateway, dispatch, &tokens)).await;
     let (stream, finish) = answer.map_err(|_| "timed out".to_owned())??;
     let mut sample = check(&stream, &finish)?;
     sample.took = Some(started.elapsed());
@@ -52,10 +54,12 @@
 
 async fn receive<G: Gateways>(
     gateways: G,
+    gateway: Option<SocketAddr>,
     dispatch: Dispatch,
     tokens: &AtomicU32,
 ) -> Result<(Vec<Token>, Finish), String> {
-    let mut replies = gateways.call(dispatch.into()).await.map_err(|error| error.to_string())?;
+    let mut replies =
+        gateways.call(gateway, dispatch.into()).await.map_err(|error| error.to_string())?;
     let mut stream: Vec<Token> = Vec::new();
     loop {
         match replies.next().await.map_err(|error| error.to_string())? {
