--- a/components/bench/src/cmd/mod.rs
+++ b/components/bench/src/cmd/mod.rs
@@ -35,8 +35,16 @@
     }
 }
 
-/// Number of attempts by outcome, and the slowest requests.
+/// What the checker had to look at, attempts by outcome, and the slowest requests.
 fn show_outcomes(pages: &Pages) {
+    println!(
+        "checked batches={} stops={} leaving={} versions={} observations={}",
+        pages.batches.len(),
+        pages.stops.len(),
+        pages.leaving.len(),
+        pages.accepted.len(),
+        pages.in_force.len(),
+    );
     let mut counts: BTreeMap<String, u64> = BTreeMap::new();
     for attempt in pages.calls.iter().flat_map(|call| &call.attempts) {
         let name = match &attempt.outcome {
