Bench: count the time in which a round cannot be posted as idle

During a table outage the trainers' posts are refused, and the time spent posting again was counted neither as waiting nor as training; the idle share under an outage came out too low.

--- a/components/bench/src/trainer/mod.rs
+++ b/components/bench/src/trainer/mod.rs
@@ -82,6 +82,8 @@
         let mut step = 0;
         let mut ended = false;
         loop {
+            // A round that cannot be posted holds the trainer back as a missing batch does.
+            let wanted = Boot.now();
             while posted <= step + self.options.ahead && !stop.is_cancelled() {
                 self.post(&client, posted).await;
                 posted += 1;
@@ -89,7 +91,6 @@
             if step == posted {
                 return;
             }
-            let wanted = Boot.now();
             let fetch = self.fetch(&mut client, step, wanted);
             tokio::pin!(fetch);
             let in_load = tokio::select! {
