Size subsets and load reports for the growth target

With 16 workers per subset some of 1,000 workers could be left out of the subsets of all 420 gateways, and the reports of 40 polls/s exceeded 7 KB/s by estimate. Subsets now hold 20 workers; beyond 16 observed workers a report is read every 2 s, else every 0.5 s.

--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -21,12 +21,12 @@
     router::{CacheEvent, Router, Source, Target},
 };
 
-/// Least interval of load reports of one worker.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest interval; a leaving worker must get no new work after 3 s.
-const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(2);
-/// Time per worker, which bounds the rate of all reports together.
-const REPORT_SPACING: Duration = Duration::from_millis(50);
+/// Interval of load reports while few workers are observed.
+const SHORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of load reports beyond [`FEW_WORKERS`]; a leaving worker must get no new work after 3 s.
+const LONG_INTERVAL: Duration = Duration::from_secs(2);
+/// Most workers with the short interval, which keeps the traffic of all reports bounded.
+const FEW_WORKERS: usize = 16;
 /// Time limit of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval of reads of the VM list.
@@ -39,9 +39,8 @@
         let mut tasks = JoinSet::new();
         {
             let targets = targets.borrow_and_update();
-            let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
-            let interval = REPORT_SPACING.saturating_mul(count);
-            let interval = interval.clamp(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL);
+            let few = targets.len() <= FEW_WORKERS;
+            let interval = if few { SHORT_INTERVAL } else { LONG_INTERVAL };
             for target in targets.iter() {
                 tasks.spawn(worker(router.clone(), target.clone(), interval));
             }
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -26,8 +26,9 @@
 
 /// Waiting requests per service.
 const QUEUE_CAPACITY: usize = 4_096;
-/// Largest number of workers of a service that one gateway uses.
-const SUBSET_SIZE: usize = 16;
+/// Largest number of workers of a service that one gateway uses. With 420 gateways and 1,000 workers
+/// every worker is used by some gateway.
+const SUBSET_SIZE: usize = 20;
 /// Longest wait for a worker.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// Interval at which deadlines and pauses of breakers are looked at.
