Scheduler: start rounds by the trainer's own pace

Rounds started by their stated deadline, which is a limit and not the time at which the trainer comes: under load the trainer waited for each batch. The start now follows the time from a delivery to the next fetch, and a round without such a forecast starts at once.

--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -141,6 +141,7 @@
             let (trainer, epoch) = (self.trainer.clone(), self.epoch);
             Cursor { trainer, epoch, taken }.seal(&self.ports.key)
         });
+        self.need.delivered(step, self.ports.clock.now());
         let way = if cursor.is_some() { "cursor" } else { "committed" };
         self.ports.metrics.batch(&self.trainer, way);
         Line::new("batch_delivered")
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -99,13 +99,15 @@
     }
 
     fn jobs(&self) -> Vec<Job> {
+        let now = self.ports.clock.now();
         let unsettled = self.works.iter().filter(|(step, _)| !self.ledger.is_settled(**step));
         let job = unsettled.map(|(step, work)| Job {
             step: *step,
             open: work.round.open().collect(),
             running: work.round.running(),
             missing: work.round.slots().filter(|(_, slot)| slot.sample.is_none()).count(),
-            due: work.round.spec().due,
+            // Without a forecast the round starts at once.
+            due: self.need.expect(*step).unwrap_or(now).min(work.round.spec().due),
             awaited: self.pending.iter().any(|pending| pending.fetch.step == *step),
             min_version: self.forecast.oldest_useful(*step, work.posted.staleness_bound),
         });
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -12,6 +12,7 @@
 use filbertsail_platform::{object::Store, table::Table};
 use filbertsail_rollout::{
     ledger::{Ledger, Table as Reach, Taken},
+    scheduler::Need,
     staleness::Forecast,
     straggler::Budget,
 };
@@ -48,6 +49,7 @@
     pub(super) batches: BTreeMap<String, Arc<Vec<Group>>>,
     pub(super) pending: Vec<Pending>,
     pub(super) forecast: Forecast,
+    pub(super) need: Need,
     pub(super) budget: Budget,
     pub(super) workers: Workers,
     pub(super) surveyed_at: Option<Instant>,
@@ -98,6 +100,7 @@
             batches: BTreeMap::new(),
             pending: Vec::new(),
             forecast: Forecast::default(),
+            need: Need::default(),
             budget: Budget::default(),
             workers: Workers::default(),
             surveyed_at: None,
@@ -206,6 +209,7 @@
 
     fn accept(&mut self, pending: Pending) {
         self.forecast.observe(pending.fetch.step, pending.fetch.version);
+        self.need.fetched(pending.fetch.step, self.ports.clock.now());
         if !self.works.contains_key(&pending.fetch.step) {
             self.named.insert(pending.fetch.step);
             self.next_refresh = self.ports.clock.now();
--- a/components/rollout/src/scheduler/mod.rs
+++ b/components/rollout/src/scheduler/mod.rs
@@ -4,12 +4,14 @@
 //! left is near the time it needs, or earlier the more the deployment weighs idle time.
 
 mod naive;
+mod need;
 mod quota;
 
 use std::time::Duration;
 
 use filbertsail_clock::Instant;
 
+pub use need::Need;
 pub use quota::{Claim, quota};
 
 use crate::{policy::Policy, round::Key};
