Gateway: state the prompt tokens in streamed usage too

A streamed completion reported zero prompt tokens and a total without them, while the same answer in one body counted them. Both now use one count; the test compares the two.

--- a/components/gateway/src/callers/completion/mod.rs
+++ b/components/gateway/src/callers/completion/mod.rs
@@ -52,8 +52,8 @@
         .ok_or_else(|| Fault::refused(StatusCode::NOT_FOUND, "unknown_service", "no such model"))?;
     let deadline = callers.deadline(&head.headers, service.timeout_ms);
     let created = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
-    let shape = Shape { id: id.to_owned(), model: asked.model, created, chat };
     let prompt_tokens = u32::try_from(asked.prompt.split_whitespace().count()).unwrap_or(u32::MAX);
+    let shape = Shape { id: id.to_owned(), model: asked.model, created, chat, prompt_tokens };
     let plan = Plan {
         request_id: id.to_owned(),
         service,
@@ -69,9 +69,7 @@
     };
     let mut items = start(callers, plan);
     match items.recv().await {
-        Some(Item::Whole(whole)) if !asked.stream => {
-            Ok(json(StatusCode::OK, shape.whole(&whole, prompt_tokens)))
-        }
+        Some(Item::Whole(whole)) if !asked.stream => Ok(json(StatusCode::OK, shape.whole(&whole))),
         Some(Item::Fault(fault)) => Err(fault),
         Some(first) => Ok(stream(callers, first, items, shape)),
         None => Err(Fault::new(
--- a/components/gateway/src/callers/completion/shape.rs
+++ b/components/gateway/src/callers/completion/shape.rs
@@ -15,17 +15,21 @@
     pub(super) model: String,
     pub(super) created: u64,
     pub(super) chat: bool,
+    pub(super) prompt_tokens: u32,
 }
 
 impl Shape {
     /// Body of a whole answer.
-    pub(super) fn whole(&self, whole: &Whole, prompt_tokens: u32) -> Vec<u8> {
-        let usage = Usage {
+    pub(super) fn whole(&self, whole: &Whole) -> Vec<u8> {
+        self.body(&whole.text, Some(&whole.reason), Some(self.usage(whole)), false)
+    }
+
+    fn usage(&self, whole: &Whole) -> Usage {
+        Usage {
             completion_tokens: whole.tokens,
-            prompt_tokens,
-            total_tokens: prompt_tokens.saturating_add(whole.tokens),
-        };
-        self.body(&whole.text, Some(&whole.reason), Some(usage), false)
+            prompt_tokens: self.prompt_tokens,
+            total_tokens: self.prompt_tokens.saturating_add(whole.tokens),
+        }
     }
 
     /// Event of one token.
@@ -33,10 +37,9 @@
         data(&self.body(&event.text, None, None, true))
     }
 
-    /// Events that end a whole answer; the usage counts generated tokens only.
+    /// Events that end a whole answer.
     pub(super) fn end(&self, whole: &Whole) -> Vec<u8> {
-        let (tokens, prompt_tokens) = (whole.tokens, 0);
-        let usage = Usage { completion_tokens: tokens, prompt_tokens, total_tokens: tokens };
+        let usage = self.usage(whole);
         let mut bytes = data(&self.body("", Some(&whole.reason), Some(usage), true));
         bytes.extend_from_slice(b"data: [DONE]\n\n");
         bytes
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -155,6 +155,10 @@
     assert_eq!(body["usage"]["completion_tokens"], 6);
     let response = gateway.call(Method::POST, "/v1/completions", ASK_STREAM).await;
     assert_eq!(texts(response.body()), (WHOLE.to_owned(), "[DONE]".to_owned()));
+    // Guards against a usage that depends on whether the answer is streamed.
+    let streamed = String::from_utf8_lossy(response.body()).into_owned();
+    let usage = format!("\"usage\":{}", body["usage"]);
+    assert!(streamed.contains(&usage), "{streamed}");
     let chat = r#"{"model":"svc","messages":[{"role":"user","content":"Hi"}],"max_tokens":6}"#;
     let response = gateway.call(Method::POST, "/v1/chat/completions", chat).await;
     let body: serde_json::Value = serde_json::from_slice(response.body()).expect("JSON");
