--- a/components/wire/src/link/auth.rs
+++ b/components/wire/src/link/auth.rs
@@ -141,13 +141,17 @@
         }
     }
 
-    /// Counts a refused call and returns the reason.
+    /// Counts and logs a refused call and returns the reason.
     pub fn count(&self, refusal: Refusal) -> Refusal {
         let counter = match refusal {
             Refusal::Stranger => &self.strangers,
             Refusal::Replay => &self.replays,
         };
-        counter.fetch_add(1, Ordering::Relaxed);
+        let total = counter.fetch_add(1, Ordering::Relaxed) + 1;
+        // Powers of two only, so that strangers cannot fill the log.
+        if total.is_power_of_two() {
+            log::warn!("event=peer_refused reason={refusal} total={total}");
+        }
         refusal
     }
 
