Second starts: budget by expected cost

It now reserves the tokens that the first attempt has plus a usual answer, and releases them when a round ends.

--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -359,10 +359,6 @@
         // The groups stay in memory for the fetch that waits.
         self.groups(step, &taken.manifest);
         self.ledger.recorded(taken);
-        if let Some(work) = self.works.remove(&step) {
-            for running in work.running.values() {
-                running.abort.abort();
-            }
-        }
+        self.end_work(step);
     }
 }
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -139,11 +139,17 @@
             let slow = straggler::find(&work.round, now);
             let (max_tokens, bound) = (work.posted.max_tokens, work.posted.staleness_bound);
             for key in slow {
-                if free == 0 || !self.budget.reserve(max_tokens) {
+                let work = &self.works[&step];
+                let first = work.round.slot(key).attempts[0].id;
+                let tokens = work.running.get(&first).map_or(0, Running::tokens);
+                let cost = self.budget.cost(tokens, max_tokens);
+                if free == 0 || !self.budget.reserve(cost) {
                     return;
                 }
                 free -= 1;
-                let first = self.works[&step].round.slot(key).attempts[0].id;
+                if let Some(work) = self.works.get_mut(&step) {
+                    work.reserved.insert(key, cost);
+                }
                 let min_version = self.forecast.oldest_useful(step, bound);
                 self.start(Start { step, key, min_version }, Some(first));
             }
@@ -214,7 +220,8 @@
                 self.ports.metrics.sample(&self.trainer, "failed");
                 work.round.fail(key, attempt);
                 if pair {
-                    self.budget.settle(work.posted.max_tokens, running.tokens());
+                    let reserved = work.reserved.remove(&key).unwrap_or(0);
+                    self.budget.settle(reserved, running.tokens());
                 }
                 let doublings = self.failures.min(MAX_PAUSE_DOUBLINGS);
                 self.hold_until = self.ports.clock.now().after(PAUSE * 2_u32.pow(doublings));
@@ -243,12 +250,14 @@
         for loser in losers {
             let Some(running) = work.running.remove(&loser) else { continue };
             running.abort.abort();
-            self.budget.settle(work.posted.max_tokens, running.tokens());
+            let reserved = work.reserved.remove(&key).unwrap_or(0);
+            self.budget.settle(reserved, running.tokens());
             self.ports.metrics.tokens(&self.trainer, "lost", running.tokens());
         }
         self.ports.metrics.sample(&self.trainer, "whole");
         self.ports.metrics.tokens(&self.trainer, "won", tokens);
         self.budget.won += u64::from(tokens);
+        self.budget.answers += 1;
         if let Some(took) = took {
             self.ports.metrics.sample_time(&self.trainer, took.as_secs_f64());
             self.sample_time = Some(self.sample_time.map_or(took, |usual| {
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -344,10 +344,13 @@
         if state != row::State::Open {
             self.closed.insert(step);
         }
-        if let Some(work) = self.works.remove(&step) {
-            for running in work.running.values() {
-                running.abort.abort();
-            }
-        }
+        self.end_work(step);
+    }
+
+    /// Cancels what is under way for a step.
+    pub(super) fn end_work(&mut self, step: u64) {
+        let Some(work) = self.works.remove(&step) else { return };
+        work.running.values().for_each(|running| running.abort.abort());
+        work.reserved.values().for_each(|cost| self.budget.settle(*cost, 0));
     }
 }
--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -57,6 +57,8 @@
     pub round: Round,
     /// Attempts by number.
     pub running: HashMap<u64, Running>,
+    /// Tokens set aside for second starts.
+    pub reserved: HashMap<Key, u32>,
     /// Samples that the scorer has.
     pub scoring: HashSet<(Key, String)>,
     /// Time of the last change of the progress row.
@@ -83,6 +85,7 @@
             posted,
             round: Round::new(spec),
             running: HashMap::new(),
+            reserved: HashMap::new(),
             scoring: HashSet::new(),
             noted_at: now,
             unnoted: false,
--- a/components/rollout/src/scheduler/need.rs
+++ b/components/rollout/src/scheduler/need.rs
@@ -55,7 +55,7 @@
     /// Guards against a forecast that takes the trainer's waiting for its work.
     #[test]
     fn can_tell_work_from_waiting() {
-        let at = |seconds| Instant::from_millis(seconds * 1_000);
+        let at = |seconds: u64| Instant::from_millis(seconds * 1_000);
         let mut need = Need::default();
         need.fetched(1, at(0));
         need.delivered(1, at(50));
--- a/components/rollout/src/straggler/mod.rs
+++ b/components/rollout/src/straggler/mod.rs
@@ -18,6 +18,8 @@
 pub struct Budget {
     /// Tokens of answers that filled a slot.
     pub won: u64,
+    /// Answers that filled a slot.
+    pub answers: u64,
     /// Tokens of attempts that lost.
     pub lost: u64,
     /// Tokens set aside for second starts under way.
@@ -25,22 +27,29 @@
 }
 
 impl Budget {
+    /// Expected cost of a second start when the first attempt has `tokens` tokens: if the second
+    /// one wins, the first one has gone on for a usual answer.
+    #[must_use]
+    pub fn cost(&self, tokens: u32, max_tokens: u32) -> u32 {
+        let usual = self.won.checked_div(self.answers).unwrap_or(u64::from(max_tokens));
+        let usual = u32::try_from(usual).unwrap_or(u32::MAX);
+        tokens.saturating_add(usual).min(max_tokens)
+    }
+
     /// Sets tokens aside for a second start, if the budget allows it.
-    ///
-    /// The loser of a pair costs at most `max_tokens`, so the share holds whichever one wins.
-    pub fn reserve(&mut self, max_tokens: u32) -> bool {
-        let after = self.lost + self.reserved + u64::from(max_tokens);
+    pub fn reserve(&mut self, cost: u32) -> bool {
+        let after = self.lost + self.reserved + u64::from(cost);
         #[allow(clippy::cast_precision_loss)]
         let allowed = after as f64 <= self.won as f64 * EXTRA_TOKEN_SHARE;
         if allowed {
-            self.reserved += u64::from(max_tokens);
+            self.reserved += u64::from(cost);
         }
         allowed
     }
 
     /// Ends a second start that cost `tokens` extra tokens.
-    pub fn settle(&mut self, max_tokens: u32, tokens: u32) {
-        self.reserved = self.reserved.saturating_sub(u64::from(max_tokens));
+    pub fn settle(&mut self, cost: u32, tokens: u32) {
+        self.reserved = self.reserved.saturating_sub(u64::from(cost));
         self.lost += u64::from(tokens);
     }
 }
@@ -90,5 +99,7 @@
         budget.settle(40, 10);
         assert!(budget.reserve(30));
         assert_eq!((budget.lost, budget.reserved), (70, 30));
+        budget.answers = 50;
+        assert_eq!((budget.cost(30, 100), budget.cost(90, 100)), (50, 100));
     }
 }
