Gateway: say that a refused keyed attempt tells nothing of earlier ones

A keyed request that is refused while the table is down carries the verdict not_run, which is true of this attempt only.

--- a/components/gateway/src/callers/keyed.rs
+++ b/components/gateway/src/callers/keyed.rs
@@ -60,7 +60,8 @@
         Err(refused) => Err(Fault::refused(
             StatusCode::SERVICE_UNAVAILABLE,
             "claim_not_committed",
-            refused.to_string(),
+            // Without the claim row nothing is known of earlier attempts.
+            format!("{refused}; an earlier attempt with the same key may have run"),
         )),
     }
 }
--- a/components/gateway/tests/keyed.rs
+++ b/components/gateway/tests/keyed.rs
@@ -90,6 +90,9 @@
     first.platform.table.faults.set_down(true);
     let keyed = first.call_with(Method::POST, PATH, "{}", &KEY).await;
     assert_eq!((keyed.status().as_u16(), &*verdict(&keyed)), (503, "not_run"));
+    // Guards against a caller that takes the verdict for one on earlier attempts.
+    let body = String::from_utf8_lossy(keyed.body());
+    assert!(body.contains("an earlier attempt with the same key may have run"), "{body}");
     assert!(keyed.headers().contains_key("retry-after"));
     assert_eq!(server.served(), 0);
     let plain = first.call(Method::POST, PATH, "{}").await;
