Rounds: take posts while the table does not answer

Cause: deliveries went on by cursor in an outage, but posts of rounds were refused, so that a trainer stood still after the rounds posted ahead. Groups that a term had stored without a progress row were generated again.

Change: the gateway offers such a round to the last known holder, which works it off at once and writes its row when the table answers. A term leaves its stored groups and offers to the next one of the same process.

The rest of the outage is lost because weights are not rolled out without the table, so that no fresh sample can be made.

--- a/components/bench/src/trainer/mod.rs
+++ b/components/bench/src/trainer/mod.rs
@@ -5,7 +5,7 @@
 use filbertsail_api::trainer::{Batch as Answer, Round as Post};
 use filbertsail_clock::{Boot, Instant, Source};
 use filbertsail_http::client::Client as Http;
-use filbertsail_rounds::client::{Client, Fetched, State};
+use filbertsail_rounds::client::{Client, Error, Fetched, State};
 use filbertsail_standin::weight;
 use tokio::{sync::watch, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -115,9 +115,18 @@
     }
 
     async fn post(&self, client: &Client, step: u64) {
+        let round = self.round(step);
+        let at = Boot.now();
+        self.send(client, &round).await;
+        let Post { trainer, group_size, staleness_bound: bound, .. } = round;
+        let round = Round { trainer, step, groups: self.options.groups, group_size, bound, at };
+        self.journal.write().rounds.push(round);
+    }
+
+    fn round(&self, step: u64) -> Post {
         let Options { name, groups, group_size, max_tokens, bound, .. } = &self.options;
         let head = prompt_head(name, step);
-        let round = Post {
+        Post {
             trainer: name.clone(),
             step,
             prompts: (0..*groups)
@@ -128,26 +137,23 @@
             staleness_bound: *bound,
             deadline_ms: self.time_to_need(),
             scorer: self.options.scorer.map(|scorer| scorer.to_string()),
-        };
-        let at = Boot.now();
+        }
+    }
+
+    /// Posts a round until a gateway takes it.
+    async fn send(&self, client: &Client, round: &Post) {
         loop {
             if let Some(gateway) = self.balancer.pick() {
-                match client.post(gateway.callers, &round).await {
-                    Ok(_) => break,
-                    Err(error) => log::info!("post of {name}/{step} at {}: {error}", gateway.name),
+                match client.post(gateway.callers, round).await {
+                    Ok(_) => return,
+                    Err(error) => {
+                        let (name, step) = (&round.trainer, round.step);
+                        log::info!("post of {name}/{step} at {}: {error}", gateway.name);
+                    }
                 }
             }
             sleep(RETRY_PAUSE).await;
         }
-        let round = Round {
-            trainer: name.clone(),
-            step,
-            groups: *groups,
-            group_size: *group_size,
-            bound: *bound,
-            at,
-        };
-        self.journal.write().rounds.push(round);
     }
 
     /// Milliseconds until the batch of a round posted now is needed.
@@ -171,6 +177,10 @@
                     return;
                 }
                 Ok(Fetched::Progress(_)) => {}
+                // The holder that took the round during a table outage is gone.
+                Err(Error::Refused { detail, .. }) if detail.code == "unknown_round" => {
+                    self.send(client, &self.round(step)).await;
+                }
                 Err(error) => {
                     let name = &self.options.name;
                     log::info!("fetch of {name}/{step} at {}: {error}", gateway.name);
--- a/components/controller/src/peers/mod.rs
+++ b/components/controller/src/peers/mod.rs
@@ -54,6 +54,14 @@
                 }
                 Ok(answer.await.unwrap_or_else(|_| not_holder()))
             }
+            Frame::Offer(offer) => {
+                let Some(commands) = self.get(&offer.trainer) else { return Ok(not_holder()) };
+                let (reply, answer) = oneshot::channel();
+                if commands.send(Command::Offer { offer, reply }).await.is_err() {
+                    return Ok(not_holder());
+                }
+                Ok(answer.await.unwrap_or_else(|_| not_holder()))
+            }
             Frame::Notice(notice) => {
                 if let Some(commands) = self.get(&notice.trainer) {
                     // The task's own poll makes up for a lost notice.
--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -191,7 +191,8 @@
     }
 
     fn commit(&mut self, taken: Taken) {
-        if self.busy {
+        // The commit needs the round's row.
+        if self.busy || self.offers.contains_key(&taken.step) {
             return;
         }
         self.busy = true;
--- a/components/controller/src/trainer/load.rs
+++ b/components/controller/src/trainer/load.rs
@@ -26,9 +26,10 @@
     pub groups: Vec<(String, Group)>,
 }
 
-/// Loads a round; waits while the object store does not answer.
+/// Loads a round; waits while the object store does not answer. Without `table` nothing of an
+/// earlier holder is looked for.
 pub async fn run<T: Table, S: Store>(
-    table: T,
+    table: Option<T>,
     store: S,
     trainer: &str,
     step: u64,
@@ -46,7 +47,11 @@
         attempt += 1;
     };
     let round = serde_json::from_slice(&body).ok();
-    Outcome { step, round, groups: stored(table, store, trainer, step).await }
+    let groups = match table {
+        Some(table) => stored(table, store, trainer, step).await,
+        None => Vec::new(),
+    };
+    Outcome { step, round, groups }
 }
 
 /// Groups of an earlier holder. Whatever cannot be read is generated again.
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod deliver;
 mod load;
+mod offer;
 mod ops;
 mod schedule;
 mod score;
@@ -18,14 +19,14 @@
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{
     Frame,
-    frame::{Fetch, Workers},
+    frame::{Fetch, Offer, Workers},
     link::auth::Key,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{gateways::Gateways, metrics::Metrics, peers::not_holder, plan::Plan};
-use term::Term;
+use term::{Carried, Term};
 
 /// Commands that wait for the task.
 pub const COMMAND_QUEUE: usize = 256;
@@ -61,6 +62,13 @@
         /// Takes the answer.
         reply: oneshot::Sender<Frame>,
     },
+    /// A gateway has a round that the table did not take.
+    Offer {
+        /// The round.
+        offer: Offer,
+        /// Takes the answer.
+        reply: oneshot::Sender<Frame>,
+    },
     /// The round of this step was posted or closed.
     Notice(u64),
 }
@@ -73,6 +81,8 @@
     Table(ops::Outcome),
     Loaded(load::Outcome),
     Surveyed(Option<Workers>),
+    /// The row of an offered round exists.
+    Entered(u64),
 }
 
 /// Runs the task until `stop`.
@@ -83,7 +93,7 @@
     mut commands: mpsc::Receiver<Command>,
     stop: CancellationToken,
 ) {
-    let mut carried = Vec::new();
+    let mut carried = Carried::default();
     // A term that ended is over, even while the agent has not noticed the loss yet.
     let mut ended = 0;
     loop {
@@ -92,9 +102,9 @@
             let trainer = plan.borrow().trainer.clone();
             event("term_started", &trainer, held.epoch);
             let term = Term::new(ports.clone(), plan.clone(), held, std::mem::take(&mut carried));
-            let unrecorded = term.run(&mut holding, &mut commands, &stop).await;
+            carried = term.run(&mut holding, &mut commands, &stop).await;
             event("term_ended", &trainer, held.epoch);
-            (carried, ended) = (unrecorded, held.epoch);
+            ended = held.epoch;
             if stop.is_cancelled() {
                 return;
             }
@@ -111,9 +121,12 @@
 }
 
 fn refuse(command: Command) {
-    if let Command::Fetch { reply, .. } = command {
+    match command {
         // Fails only if the caller is gone.
-        let _ = reply.send(not_holder());
+        Command::Fetch { reply, .. } | Command::Offer { reply, .. } => {
+            let _ = reply.send(not_holder());
+        }
+        Command::Notice(_) => {}
     }
 }
 
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -17,7 +17,7 @@
     straggler::Budget,
 };
 use filbertsail_rounds::row;
-use filbertsail_wire::frame::Workers;
+use filbertsail_wire::frame::{Offer, Workers};
 use tokio::{
     sync::{Semaphore, mpsc, watch},
     task::JoinSet,
@@ -37,6 +37,17 @@
 /// Requests to one scorer under way at a time.
 const SCORER_CALLS: usize = 32;
 
+/// What a term leaves to the next one of the same process.
+#[derive(Default)]
+pub struct Carried {
+    /// Batches that may not be recorded.
+    pub taken: Vec<Taken>,
+    /// Stored groups by step, which no progress row may name yet.
+    pub groups: BTreeMap<u64, Vec<(String, Group)>>,
+    /// Rounds whose rows the table may not hold yet.
+    pub offers: BTreeMap<u64, Offer>,
+}
+
 /// State of one term.
 pub struct Term<T, S, G, C> {
     pub(super) ports: Ports<T, S, G, C>,
@@ -67,6 +78,8 @@
     /// All rounds and manifests have been read once.
     pub(super) loaded: bool,
     pub(super) closed: BTreeSet<u64>,
+    pub(super) offers: BTreeMap<u64, Offer>,
+    pub(super) carried: BTreeMap<u64, Vec<(String, Group)>>,
     pub(super) named: BTreeSet<u64>,
     pub(super) loading: BTreeSet<u64>,
     next_refresh: Instant,
@@ -77,19 +90,19 @@
 }
 
 impl<T: Table, S: Store, G: Gateways, C: Source> Term<T, S, G, C> {
-    /// Term that starts under `held`, with what an earlier term of this process left unrecorded.
+    /// Term that starts under `held`, with what an earlier term of this process left.
     pub fn new(
         ports: Ports<T, S, G, C>,
         plan: watch::Receiver<Plan>,
         held: Holding,
-        carried: Vec<Taken>,
+        carried: Carried,
     ) -> Self {
         let now = ports.clock.now();
         let (sender, events) = mpsc::unbounded_channel();
         let mut ledger = Ledger::new(held.epoch, []);
-        carried.into_iter().for_each(|taken| ledger.uncertain(taken));
+        carried.taken.into_iter().for_each(|taken| ledger.uncertain(taken));
         let trainer = plan.borrow().trainer.clone();
-        Self {
+        let mut term = Self {
             ports,
             plan,
             trainer,
@@ -116,6 +129,8 @@
             draining: false,
             loaded: false,
             closed: BTreeSet::new(),
+            offers: BTreeMap::new(),
+            carried: carried.groups,
             named: BTreeSet::new(),
             loading: BTreeSet::new(),
             next_refresh: now,
@@ -123,17 +138,19 @@
             tasks: JoinSet::new(),
             sender,
             events,
-        }
+        };
+        carried.offers.into_values().for_each(|offer| term.take_over(offer));
+        term
     }
 
     /// Runs until the lease is lost, or until what is under way at `stop` has ended; returns what
-    /// is not recorded.
+    /// the next term can use.
     pub async fn run(
         mut self,
         holding: &mut watch::Receiver<Option<Holding>>,
         commands: &mut mpsc::Receiver<Command>,
         stop: &CancellationToken,
-    ) -> Vec<Taken> {
+    ) -> Carried {
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         while !(self.lost || self.draining && self.is_idle()) {
@@ -153,7 +170,11 @@
                 _ = tick.tick() => self.tick(),
             }
         }
-        self.ledger.unrecorded()
+        Carried {
+            taken: self.ledger.unrecorded(),
+            groups: self.works.iter().map(|(step, work)| (*step, work.stored_groups())).collect(),
+            offers: self.offers,
+        }
     }
 
     /// Whether this process may act as holder now.
@@ -200,6 +221,7 @@
                 self.named.insert(step);
                 self.next_refresh = self.ports.clock.now();
             }
+            Command::Offer { offer, reply } => self.offered(offer, reply),
             Command::Fetch { fetch, reply } => match Pending::new(&self.ports, fetch, reply) {
                 Ok(pending) => self.accept(pending),
                 Err(command) => refuse(command),
@@ -237,6 +259,10 @@
                 self.table_answered(outcome);
             }
             Event::Loaded(outcome) => self.round_loaded(outcome),
+            Event::Entered(step) => {
+                self.named.insert(step);
+                self.next_refresh = self.ports.clock.now();
+            }
             Event::Surveyed(workers) => {
                 self.surveying = false;
                 if let Some(workers) = workers {
@@ -296,7 +322,9 @@
             return;
         };
         let mut work = Work::new(posted, self.ports.clock.now());
-        for (object, group) in outcome.groups {
+        let carried = self.carried.remove(&outcome.step).unwrap_or_default();
+        work.unnoted = !carried.is_empty();
+        for (object, group) in outcome.groups.into_iter().chain(carried) {
             work.restore(object, group);
         }
         self.works.insert(outcome.step, work);
@@ -315,6 +343,7 @@
         }
         for (step, round) in rows.rounds {
             self.named.remove(&step);
+            self.entered(step, &round);
             let echo = round.cursor.as_ref().and_then(|text| {
                 filbertsail_rounds::cursor::Cursor::open(&self.ports.key, &self.trainer, text)
             });
@@ -329,11 +358,13 @@
         }
     }
 
-    fn load(&mut self, step: u64, object: String) {
+    pub(super) fn load(&mut self, step: u64, object: String) {
         if !self.loading.insert(step) {
             return;
         }
+        let offered = self.offers.contains_key(&step);
         let (table, store) = (self.ports.table.clone(), self.ports.store.clone());
+        let table = (!offered).then_some(table);
         let trainer = self.trainer.clone();
         self.spawn(
             async move { Event::Loaded(load::run(table, store, &trainer, step, &object).await) },
--- a/components/controller/src/trainer/work.rs
+++ b/components/controller/src/trainer/work.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Stored groups with their keys.
+    pub fn stored_groups(&self) -> Vec<(String, Group)> {
+        let stored = self.groups.values().filter(|body| body.stored);
+        stored.map(|body| (body.object.clone(), body.group.clone())).collect()
+    }
+
     /// Drops samples that are too old for a trainer at `version`.
     pub fn drop_stale(&mut self, version: u64) -> Vec<Key> {
         let stale = self.round.drop_stale(version);
--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -372,6 +372,95 @@
     assert!(client.post(gateway, &round(1)).await.expect("repeat").samples == 16);
 }
 
+/// Guards against a trainer that stands still because it cannot post while the table is down, and
+/// against a round that is delivered twice once the table answers.
+#[tokio::test]
+async fn can_take_rounds_without_the_table() {
+    let fleet = Fleet::start().await;
+    let controller = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    assert!(client.post(gateway, &round(1)).await.expect("post").recorded);
+    batch(&mut client, gateway, 1, 1).await;
+    fleet.table.set_down(true);
+    let mut taken = Vec::new();
+    for step in 2..=4 {
+        let receipt = client.post(gateway, &round(step)).await.expect("post in the outage");
+        assert!(!receipt.recorded);
+        assert!(!client.post(gateway, &round(step)).await.expect("repeat").recorded);
+        taken.push(batch(&mut client, gateway, step, 1).await);
+        // The lease runs out during the outage.
+        controller.holding.send_replace(None);
+    }
+    fleet.table.set_down(false);
+    fleet.grant(&controller, 1).await;
+    for batch in &taken {
+        let step = batch.step;
+        wait_for(|| fleet.table.row(&row::round_key(TRAINER, step)).is_some()).await;
+        wait_for(|| fleet.table.row(&row::manifest_key(TRAINER, step)).is_some()).await;
+        let row = fleet.table.row(&row::manifest_key(TRAINER, batch.step)).expect("recorded");
+        assert_eq!(row.value["digest"], batch.digest);
+    }
+    assert!(!client.post(gateway, &round(4)).await.expect("repeat").created);
+    assert_eq!(batch(&mut client, gateway, 4, 1).await.groups, taken[2].groups);
+}
+
+/// Guards against a round that is lost with the holder that took it without the table: the trainer
+/// must learn that it has to post again.
+#[tokio::test]
+async fn can_post_a_round_again_after_its_holder_died() {
+    let fleet = Fleet::start().await;
+    let first = fleet.controller("controller-1", Policy::Production).await;
+    fleet.grant(&first, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    client.post(gateway, &round(1)).await.expect("post");
+    batch(&mut client, gateway, 1, 1).await;
+    fleet.table.set_down(true);
+    assert!(!client.post(gateway, &round(2)).await.expect("post").recorded);
+    batch(&mut client, gateway, 2, 1).await;
+    assert!(!client.post(gateway, &round(3)).await.expect("post").recorded);
+    first.stop.cancel();
+    wait_for(|| first.holding.is_closed()).await;
+    // The row may have been written by the old holder; a new one must cope with both.
+    fleet.table.set_down(false);
+    let second = fleet.controller("controller-2", Policy::Production).await;
+    fleet.grant(&second, 2).await;
+    let fetched = client.fetch(gateway, 3, 1, WAIT).await;
+    let next = match fetched {
+        Ok(Fetched::Batch(batch)) => *batch,
+        other => {
+            assert_eq!(status(other).1, "unknown_round");
+            client.post(gateway, &round(3)).await.expect("post again");
+            batch(&mut client, gateway, 3, 1).await
+        }
+    };
+    assert_eq!((next.epoch, next.step), (2, 3));
+    assert!(fleet.table.row(&row::manifest_key(TRAINER, 2)).is_some(), "the cursor is recorded");
+}
+
+/// Guards against groups that are generated again because a term ended before their progress row
+/// was written.
+#[tokio::test]
+async fn can_keep_stored_groups_for_the_next_term() {
+    let fleet = Fleet::start().await;
+    let slow = ("3/3".to_owned(), Duration::from_secs(2));
+    fleet.engine.slow.lock().expect("lock").extend([slow]);
+    let controller = fleet.controller("controller-1", Policy::Naive).await;
+    fleet.grant(&controller, 1).await;
+    let gateway = fleet.gateway().await;
+    let mut client = trainer(State::default());
+    client.post(gateway, &round(1)).await.expect("post");
+    wait_for(|| fleet.engine.count() == 16).await;
+    fleet.table.set_down(true);
+    wait_for(|| fleet.store.count("samples/") >= 3).await;
+    fleet.table.set_down(false);
+    fleet.grant(&controller, 2).await;
+    batch(&mut client, gateway, 1, 1).await;
+    assert!(fleet.engine.count() <= 20, "{} samples for 16", fleet.engine.count());
+}
+
 /// Guards against a trainer that stands still for as long as the table is down.
 #[tokio::test]
 async fn can_shorten_the_stall_of_an_outage() {
--- a/components/controller/tests/support/store.rs
+++ b/components/controller/tests/support/store.rs
@@ -22,6 +22,12 @@
         self.0.lock().expect("lock").down = down;
     }
 
+    /// Objects whose key starts with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        let state = self.0.lock().expect("lock");
+        state.objects.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     fn check(&self) -> Result<(), Error> {
         let down = self.0.lock().expect("lock").down;
         if down { Err(Error::Unavailable("down".to_owned())) } else { Ok(()) }
--- a/components/rounds/src/handler/answer.rs
+++ b/components/rounds/src/handler/answer.rs
@@ -65,6 +65,11 @@
         self
     }
 
+    /// Whether something that the request needs did not answer.
+    pub fn is_outage(&self) -> bool {
+        self.status == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// HTTP form.
     pub fn response(self) -> Response<Body> {
         let verdict = match self.verdict {
--- a/components/rounds/src/handler/post.rs
+++ b/components/rounds/src/handler/post.rs
@@ -12,7 +12,7 @@
     table::{Error, Table},
 };
 use filbertsail_telemetry::event::Line;
-use filbertsail_wire::frame::Notice;
+use filbertsail_wire::frame::{Notice, Offer};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
@@ -48,17 +48,46 @@
         })?;
         let state = row::State::Open;
         let value = row::Round { digest, object, state, samples, cursor: None };
-        let created = self.insert(&round, &value).await?;
+        let inserted = self.insert(&round, &value).await;
+        let recorded = inserted.is_ok();
+        let created = match inserted {
+            Ok(created) => created,
+            Err(refusal) => self.offer(&round, &value, refusal).await?,
+        };
         let (trainer, step) = (trainer.to_owned(), round.step);
         Line::new("round_posted")
             .with("trainer", &trainer)
             .with("step", step)
             .with("samples", samples)
             .with("created", created)
+            .with("recorded", recorded)
             .info();
-        self.notify(&trainer, step);
-        let status = if created { StatusCode::CREATED } else { StatusCode::OK };
-        Ok(json(status, &Receipt { created, samples, step, trainer }))
+        if recorded {
+            self.notify(&trainer, step);
+        }
+        let status = match (recorded, created) {
+            (false, _) => StatusCode::ACCEPTED,
+            (true, true) => StatusCode::CREATED,
+            (true, false) => StatusCode::OK,
+        };
+        Ok(json(status, &Receipt { created, recorded, samples, step, trainer }))
+    }
+
+    /// Hands a round that the table did not take to the holder, which works it off and writes its
+    /// row later.
+    async fn offer(
+        &self,
+        round: &Round,
+        value: &row::Round,
+        refusal: Refusal,
+    ) -> Result<bool, Refusal> {
+        if !refusal.is_outage() {
+            return Err(refusal);
+        }
+        let row::Round { digest, object, samples, .. } = value.clone();
+        let (trainer, step) = (round.trainer.clone(), round.step);
+        let offer = Offer { trainer, step, object, digest, samples };
+        if self.holder.offer(offer).await { Ok(true) } else { Err(refusal) }
     }
 
     /// Tells the holder in the background; the caller does not wait for it.
--- a/components/wire/src/codec/mod.rs
+++ b/components/wire/src/codec/mod.rs
@@ -128,6 +128,7 @@
     15 => Pull,
     16 => Config,
     17 => Done,
+    18 => Offer,
 }
 
 fn assemble(kind: u16, body: &[u8]) -> Result<Bytes, Error> {
--- a/components/wire/src/frame/mod.rs
+++ b/components/wire/src/frame/mod.rs
@@ -27,6 +27,8 @@
     Workers(Workers),
     /// Notice that a round was posted or cancelled.
     Notice(Notice),
+    /// Round that the table service could not take.
+    Offer(Offer),
     /// Fetch of a step's batch.
     Fetch(Fetch),
     /// Whole batch.
@@ -210,6 +212,21 @@
     pub step: u64,
 }
 
+/// Round whose body is stored and whose row the table service could not take.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Offer {
+    /// Trainer name.
+    pub trainer: String,
+    /// Step number.
+    pub step: u64,
+    /// Key of the body in the object store.
+    pub object: String,
+    /// SHA-256 of the posted body in canonical JSON, in hex.
+    pub digest: String,
+    /// Samples wanted.
+    pub samples: u64,
+}
+
 /// Fetch of a step's batch.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Fetch {
--- a/components/wire/tests/frames.rs
+++ b/components/wire/tests/frames.rs
@@ -6,7 +6,8 @@
     Frame, codec,
     frame::{
         Batch, Condition, Config, Digest, Dispatch, Done, Fault, Fetch, Finish, Hint, Label,
-        Member, Notice, Order, Outcome, Progress, Pull, Role, Survey, Token, Worker, Workers,
+        Member, Notice, Offer, Order, Outcome, Progress, Pull, Role, Survey, Token, Worker,
+        Workers,
     },
 };
 use proptest::{
@@ -107,6 +108,14 @@
     };
     vec![
         Notice { trainer: "advisor".to_owned(), step: 5 }.into(),
+        Offer {
+            trainer: "advisor".to_owned(),
+            step: 6,
+            object: "rounds/advisor/6/ab12".to_owned(),
+            digest: "ab12".to_owned(),
+            samples: 16,
+        }
+        .into(),
         fetch.into(),
         Batch { body: b"{}".to_vec() }.into(),
         Progress { ready: 10, wanted: 1_024 }.into(),
