Weights: go on with rollouts while the table does not answer

Cause: the lease on a service's weights runs out in a table outage, so that workers keep old weights and no sample is fresh enough for the trainers.

Change: where engines refuse old fencing numbers, the last holder goes on under its epoch while the table does not answer. If another daemon has the lease after all, the engines refuse the orders. Where engines ignore the number, the holder stops at its deadline as before, since nothing else would stop a superseded one.

--- a/components/cluster/src/agent/handle.rs
+++ b/components/cluster/src/agent/handle.rs
@@ -76,6 +76,12 @@
         *self.reachable.borrow()
     }
 
+    /// Whether the table service answered last, with its changes.
+    #[must_use]
+    pub fn table(&self) -> watch::Receiver<bool> {
+        self.reachable.clone()
+    }
+
     /// Marks the start of a planned stop, which ends readiness, or takes the mark back.
     pub fn set_draining(&self, draining: bool) {
         // Both fail only while the daemon stops.
--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -144,6 +144,7 @@
             gateways: links,
             clock: Boot,
             order_life: times.order_life,
+            table: agent.table(),
             metrics: instruments,
         },
     };
--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -54,6 +54,8 @@
     pub clock: C,
     /// Longest time for which an order may take effect.
     pub order_life: Duration,
+    /// Whether the table service answered last.
+    pub table: watch::Receiver<bool>,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -130,7 +132,16 @@
 }
 
 impl<W: Store, G: Gateways, C: Source> Task<W, G, C> {
+    /// Whether the lease may be used past its deadline: nobody can be seen to take it while the table
+    /// does not answer, and if somebody has taken it after all, the engines refuse the old epoch.
+    fn is_detached(&self) -> bool {
+        self.rules.borrow().checks_fence && !*self.ports.table.borrow()
+    }
+
     fn hold(&mut self, holding: Option<Holding>) {
+        if holding.is_none() && self.is_detached() {
+            return;
+        }
         let epoch = |holding: Option<Holding>| holding.map(|it| it.epoch);
         if epoch(holding) != epoch(self.holding) {
             // What an earlier holder ordered is learnt from reports that were made when none of its
@@ -148,12 +159,14 @@
     fn may_order(&self) -> Option<Holding> {
         let checks = self.rules.borrow().checks_fence;
         let now = self.ports.clock.now();
-        self.holding.filter(|it| it.epoch > self.lost && it.may_order(now, checks))
+        let detached = self.is_detached();
+        self.holding.filter(|it| it.epoch > self.lost && (detached || it.may_order(now, checks)))
     }
 
     fn tick(&mut self) {
         let now = self.ports.clock.now();
-        if !self.holding.is_some_and(|it| it.epoch > self.lost && it.is_valid(now)) {
+        let detached = self.is_detached();
+        if !self.holding.is_some_and(|it| it.epoch > self.lost && (detached || it.is_valid(now))) {
             return;
         }
         self.ask_latest(now);
@@ -223,11 +236,13 @@
             .with("reason", if order.attempt > 1 { "again" } else { "wave" })
             .info();
         let scope = scope(&rules.service);
+        let (checks_fence, table) = (rules.checks_fence, self.ports.table.clone());
         self.tasks.spawn(async move {
             // The semaphore is never closed.
             let _permit = permits.acquire().await;
             let now = clock.now();
-            if !holding.is_valid(now) {
+            let detached = checks_fence && !*table.borrow();
+            if !(detached || holding.is_valid(now)) {
                 let (verdict, reason) = (Verdict::NotRun, "lease expired".to_owned());
                 return Event::Answered(order.worker, Err(Failure { verdict, reason }));
             }
--- a/components/controller/tests/weights.rs
+++ b/components/controller/tests/weights.rs
@@ -34,8 +34,17 @@
     }
 }
 
-/// Starts the task under `holding`.
+/// Starts the task under `holding` with a table that answers.
 fn start(fleet: &Fleet, checks_fence: bool, holding: Holding) -> CancellationToken {
+    start_with(fleet, checks_fence, holding, true)
+}
+
+fn start_with(
+    fleet: &Fleet,
+    checks_fence: bool,
+    holding: Holding,
+    table_answers: bool,
+) -> CancellationToken {
     let gateway = Gateway { address: fleet.engine_address, zone: "lahti-c".to_owned() };
     let (_, known) = watch::channel([gateway].into());
     let ports = Ports {
@@ -43,6 +52,7 @@
         gateways: Links::new(known, key(), hello("controller-1")),
         clock: Boot,
         order_life: Duration::from_secs(5),
+        table: watch::channel(table_answers).1,
         metrics: metrics(),
     };
     let wave = wave::Rules { min_serving: 0.0, haste: 1.0 };
@@ -116,3 +126,24 @@
     sleep(Duration::from_secs(1)).await;
     assert!(fleet.engine.orders.lock().expect("lock").is_empty());
 }
+
+/// Guards against workers that keep old weights for as long as the table is down, although their
+/// engines would refuse the orders of a superseded holder.
+#[tokio::test]
+async fn can_order_past_the_deadline_while_the_table_is_down() {
+    let fleet = Fleet::start().await;
+    let now = Boot.now();
+    start_with(&fleet, true, Holding { epoch: 2, deadline: now, orders_from: now }, false);
+    assert_eq!(first_order(&fleet).await.1.epoch, 2);
+}
+
+/// Guards against the same where engines ignore fencing numbers, so that nothing stops the orders of
+/// a superseded holder.
+#[tokio::test]
+async fn can_stop_at_the_deadline_where_fences_are_ignored() {
+    let fleet = Fleet::start().await;
+    let now = Boot.now();
+    start_with(&fleet, false, Holding { epoch: 2, deadline: now, orders_from: now }, false);
+    sleep(Duration::from_secs(1)).await;
+    assert!(fleet.engine.orders.lock().expect("lock").is_empty());
+}
