Imports: one statement for each crate

Modules named a crate once under an alias and once for its items. The alias is now part of the nested import, or gone where nothing uses it.

--- a/components/claims/src/owners/mod.rs
+++ b/components/claims/src/owners/mod.rs
@@ -2,8 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use clock::Instant;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 
 /// Time that an owner must be gone before its claims count as abandoned. A gateway that is cut off
 /// from the others for a shorter time may still finish.
@@ -31,8 +30,7 @@
 
 #[cfg(test)]
 mod tests {
-    use clock::Instant;
-    use filbertsail_clock as clock;
+    use filbertsail_clock::Instant;
 
     use super::Owners;
 
--- a/components/claims/src/row/mod.rs
+++ b/components/claims/src/row/mod.rs
@@ -1,9 +1,8 @@
 //! Claim rows.
 
 use derive_more::Display;
-use errors::Verdict;
 use filbertsail_api::table::Row;
-use filbertsail_errors as errors;
+use filbertsail_errors::Verdict;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
--- a/components/claims/src/task/mod.rs
+++ b/components/claims/src/task/mod.rs
@@ -11,10 +11,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use clock::Instant;
 use derive_more::{Display, Error};
 use filbertsail_api::table::{Expect, Query, Row};
-use filbertsail_clock as clock;
+use filbertsail_clock::{self as clock, Instant};
 use filbertsail_platform::{object, table};
 use serde_json::to_value;
 use tokio::{
--- a/components/claims/src/task/ticket.rs
+++ b/components/claims/src/task/ticket.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use errors::Verdict;
 use filbertsail_api::table::Expect;
 use filbertsail_clock as clock;
-use filbertsail_errors as errors;
+use filbertsail_errors::Verdict;
 use filbertsail_platform::{object, table};
 use filbertsail_telemetry::event::Line;
 use tokio::time::sleep;
--- a/components/claims/tests/claims.rs
+++ b/components/claims/tests/claims.rs
@@ -6,10 +6,9 @@
 
 use bytes::Bytes;
 use common::{Backend, DIGEST, Told, World, key};
-use errors::Verdict;
 use filbertsail_claims::{Answer, Begin, row::Claim, sweep};
 use filbertsail_clock::Source as _;
-use filbertsail_errors as errors;
+use filbertsail_errors::Verdict;
 use filbertsail_platform::fake::Fault;
 use tokio::time::{sleep, timeout};
 
--- a/components/claims/tests/common/mod.rs
+++ b/components/claims/tests/common/mod.rs
@@ -11,12 +11,10 @@
 };
 
 use bytes::Bytes;
-use clock::Instant;
-use errors::Verdict;
 use filbertsail_api::table::{Commit, Page, Query, Row, Scan, Transaction};
 use filbertsail_claims::{Answer, Begin, Claims, Key, Members, Setup};
-use filbertsail_clock as clock;
-use filbertsail_errors as errors;
+use filbertsail_clock::{self as clock, Instant};
+use filbertsail_errors::Verdict;
 use filbertsail_platform::{
     fake, object,
     table::{Error, Table},
--- a/components/claims/tests/stateful.rs
+++ b/components/claims/tests/stateful.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use common::{Backend, Told, World};
-use errors::Verdict;
 use filbertsail_api::table::Transaction;
-use filbertsail_errors as errors;
+use filbertsail_errors::Verdict;
 use filbertsail_platform::{fake::Fault, table::Table as _};
 use proptest::{
     prelude::*,
--- a/components/gateway/src/backend/failure.rs
+++ b/components/gateway/src/backend/failure.rs
@@ -1,8 +1,7 @@
 //! Failed attempts.
 
 use derive_more::{Display, Error};
-use errors::Verdict;
-use filbertsail_errors as errors;
+use filbertsail_errors::Verdict;
 
 /// What went wrong with an attempt.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/components/gateway/src/callers/application.rs
+++ b/components/gateway/src/callers/application.rs
@@ -1,7 +1,6 @@
 //! Requests to application services.
 
-use config::inventory::Kind;
-use filbertsail_config as config;
+use filbertsail_config::inventory::Kind;
 use filbertsail_http::Body;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/components/gateway/src/callers/completion/mod.rs
+++ b/components/gateway/src/callers/completion/mod.rs
@@ -5,11 +5,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use config::inventory::{Class, Kind};
-use errors::Verdict;
 use filbertsail_api::completion as api;
-use filbertsail_config as config;
-use filbertsail_errors as errors;
+use filbertsail_config::inventory::{Class, Kind};
+use filbertsail_errors::Verdict;
 use filbertsail_http::{Body, body::Abort, server::json};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
--- a/components/gateway/src/callers/keyed.rs
+++ b/components/gateway/src/callers/keyed.rs
@@ -3,10 +3,8 @@
 //! A request that has a claim runs to its end even if its caller leaves, so that a repeat gets the
 //! answer.
 
-use claims::{Answer, Begin, Key, row::digest};
-use errors::{VERDICT_HEADER, Verdict};
-use filbertsail_claims as claims;
-use filbertsail_errors as errors;
+use filbertsail_claims::{Answer, Begin, Key, row::digest};
+use filbertsail_errors::{VERDICT_HEADER, Verdict};
 use filbertsail_http::Body;
 use filbertsail_platform::object::Store as _;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
--- a/components/gateway/src/callers/mod.rs
+++ b/components/gateway/src/callers/mod.rs
@@ -7,10 +7,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use clock::Instant;
-use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER};
-use filbertsail_clock as clock;
-use filbertsail_errors as errors;
+use filbertsail_clock::Instant;
+use filbertsail_errors::{DEADLINE_HEADER, REQUEST_ID_HEADER};
 use filbertsail_http::{Body, server::Handler, token};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/components/gateway/src/context/mod.rs
+++ b/components/gateway/src/context/mod.rs
@@ -8,8 +8,7 @@
     time::Duration,
 };
 
-use clock::{Boot, Instant, Source as _};
-use filbertsail_clock as clock;
+use filbertsail_clock::{Boot, Instant, Source as _};
 use tokio_util::task::TaskTracker;
 
 use crate::{metrics::Metrics, router::Router};
--- a/components/gateway/src/daemon/mod.rs
+++ b/components/gateway/src/daemon/mod.rs
@@ -4,10 +4,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use config::settings::Settings;
 use eyre::WrapErr;
 use filbertsail_cluster::config::Snapshot;
-use filbertsail_config as config;
+use filbertsail_config::settings::Settings;
 use filbertsail_routing::policy::{Policy, Production};
 use filbertsail_telemetry::event::Line;
 use tokio::{
--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -6,13 +6,12 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use config::settings::Settings;
 use eyre::{WrapErr, eyre};
 use filbertsail_admin as admin;
 use filbertsail_claims as claims;
 use filbertsail_clock::Boot;
 use filbertsail_cluster::{agent, subset};
-use filbertsail_config as config;
+use filbertsail_config::settings::Settings;
 use filbertsail_http::{server, tls, token};
 use filbertsail_platform::{budget, object, table, vm};
 use filbertsail_rounds::reach;
--- a/components/gateway/src/fault/mod.rs
+++ b/components/gateway/src/fault/mod.rs
@@ -1,10 +1,8 @@
 //! Failed requests as callers and controllers see them.
 
-use api::fault::{Body as Envelope, Detail, Verdict as Label};
 use derive_more::{Display, Error};
-use errors::{VERDICT_HEADER, Verdict};
-use filbertsail_api as api;
-use filbertsail_errors as errors;
+use filbertsail_api::fault::{Body as Envelope, Detail, Verdict as Label};
+use filbertsail_errors::{VERDICT_HEADER, Verdict};
 use filbertsail_http::{Body, server::json};
 use filbertsail_wire::frame;
 use http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER};
--- a/components/gateway/src/fleet/mod.rs
+++ b/components/gateway/src/fleet/mod.rs
@@ -5,12 +5,12 @@
     atomic::{AtomicU64, Ordering},
 };
 
-use api::{
+use filbertsail_admin::{Fleet as Port, Health, Level, Refused, View};
+use filbertsail_api::{
+    self as api,
     admin::{Answer, Applied, Apply, Daemon, Drain, Drained, Head, Holder, Question, Role, Status},
     table::Scan,
 };
-use filbertsail_admin::{Fleet as Port, Health, Level, Refused, View};
-use filbertsail_api as api;
 use filbertsail_cluster::{config::apply::Error as NotApplied, member::State};
 use filbertsail_platform::table::{Error, Table as _};
 use filbertsail_wire::frame;
--- a/components/gateway/src/generate/attempt.rs
+++ b/components/gateway/src/generate/attempt.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, Verdict};
 use filbertsail_api::engine::Completion;
-use filbertsail_errors as errors;
+use filbertsail_errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, Verdict};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use tokio::{sync::mpsc, time};
 
--- a/components/gateway/src/generate/mod.rs
+++ b/components/gateway/src/generate/mod.rs
@@ -9,13 +9,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clock::Instant;
-use config::inventory::{Class, Service as Entry};
-use errors::Verdict;
 use filbertsail_api::engine::{Event, Label};
-use filbertsail_clock as clock;
-use filbertsail_config as config;
-use filbertsail_errors as errors;
+use filbertsail_clock::Instant;
+use filbertsail_config::inventory::{Class, Service as Entry};
+use filbertsail_errors::Verdict;
 use filbertsail_routing::state::Outcome;
 use http::StatusCode;
 use tokio::{sync::mpsc, time};
--- a/components/gateway/src/marks/mod.rs
+++ b/components/gateway/src/marks/mod.rs
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-use api::table::{Query, Scan, Transaction, Write};
-use filbertsail_api as api;
+use filbertsail_api::table::{Query, Scan, Transaction, Write};
 use filbertsail_platform::table::{Error, Table as _};
 use rand::RngExt;
 use serde_json::json;
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -2,11 +2,9 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use clock::Source as _;
-use config::inventory::Kind;
 use filbertsail_api::engine::{CacheEvents, Change, Load};
-use filbertsail_clock as clock;
-use filbertsail_config as config;
+use filbertsail_clock::{self as clock, Source as _};
+use filbertsail_config::inventory::Kind;
 use filbertsail_platform::vm;
 use filbertsail_routing::{prefix, state::Report};
 use http::{HeaderMap, Method, StatusCode};
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -3,11 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use config::inventory::{Class, Kind};
-use errors::{REQUEST_ID_HEADER, Verdict};
 use filbertsail_api::engine;
-use filbertsail_config as config;
-use filbertsail_errors as errors;
+use filbertsail_config::inventory::{Class, Kind};
+use filbertsail_errors::{REQUEST_ID_HEADER, Verdict};
 use filbertsail_wire::{
     Frame,
     frame::{Dispatch, Finish, Hello, Label, Order, Outcome, Survey, Token, Workers},
--- a/components/gateway/src/proxy/attempt.rs
+++ b/components/gateway/src/proxy/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at one backend server.
 
-use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
-use filbertsail_errors as errors;
+use filbertsail_errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
 use http::{HeaderValue, StatusCode, response::Parts};
 
 use super::{Plan, Tried, is_failure};
--- a/components/gateway/src/proxy/headers.rs
+++ b/components/gateway/src/proxy/headers.rs
@@ -1,7 +1,6 @@
 //! Headers on their way through the gateway.
 
-use errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
-use filbertsail_errors as errors;
+use filbertsail_errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
 use http::{HeaderMap, HeaderName, header};
 
 /// Headers that concern one connection only.
--- a/components/gateway/src/proxy/mod.rs
+++ b/components/gateway/src/proxy/mod.rs
@@ -6,12 +6,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clock::Instant;
-use config::inventory::{Class, Service as Entry};
-use errors::{VERDICT_HEADER, Verdict};
-use filbertsail_clock as clock;
-use filbertsail_config as config;
-use filbertsail_errors as errors;
+use filbertsail_clock::Instant;
+use filbertsail_config::inventory::{Class, Service as Entry};
+use filbertsail_errors::{VERDICT_HEADER, Verdict};
 use filbertsail_http::Body;
 use filbertsail_routing::state::Outcome;
 use http::{HeaderMap, Method, StatusCode, response::Parts};
--- a/components/gateway/src/router/admission.rs
+++ b/components/gateway/src/router/admission.rs
@@ -2,13 +2,10 @@
 
 use std::sync::Arc;
 
-use clock::Instant;
-use collections::arena::Key;
-use config::inventory::Class;
 use derive_more::{Display, Error};
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
-use filbertsail_config as config;
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
+use filbertsail_config::inventory::Class;
 use filbertsail_routing::state::{Outcome, Worker};
 use http::StatusCode;
 use tokio::sync::mpsc;
--- a/components/gateway/src/router/mod.rs
+++ b/components/gateway/src/router/mod.rs
@@ -9,11 +9,10 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use config::inventory::Service as Entry;
 use filbertsail_api as api;
 use filbertsail_clock as clock;
 use filbertsail_cluster::config::Snapshot;
-use filbertsail_config as config;
+use filbertsail_config::inventory::Service as Entry;
 use filbertsail_routing::{policy::Policy, prefix::Change, state::Report};
 use filbertsail_wire::frame;
 use tokio::sync::{mpsc, oneshot, watch};
--- a/components/gateway/src/router/report.rs
+++ b/components/gateway/src/router/report.rs
@@ -1,10 +1,8 @@
 //! What the routing task learns from workers and tells others.
 
-use api::admin::{Answer, Backend, Candidate, Question};
-use config::inventory::Class;
-use filbertsail_api as api;
+use filbertsail_api::admin::{Answer, Backend, Candidate, Question};
 use filbertsail_clock as clock;
-use filbertsail_config as config;
+use filbertsail_config::inventory::Class;
 use filbertsail_routing::{
     breaker,
     policy::{self, Policy, Standing},
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -2,12 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clock::Instant;
-use collections::{HashMap, arena::Key};
-use config::inventory::{Class, Inventory};
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
-use filbertsail_config as config;
+use filbertsail_clock::{self as clock, Instant};
+use filbertsail_collections::{HashMap, arena::Key};
+use filbertsail_config::inventory::{Class, Inventory};
 use filbertsail_routing::{
     policy::{Choice, Policy},
     queue::{Entry, Queue},
--- a/components/routing/src/breaker/mod.rs
+++ b/components/routing/src/breaker/mod.rs
@@ -6,9 +6,8 @@
 
 use std::time::Duration;
 
-use clock::Instant;
 use derive_more::Display;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 
 /// Failures in a row that open the breaker.
 const CONSECUTIVE_FAILURES: u32 = 5;
@@ -135,8 +134,7 @@
 
 #[cfg(test)]
 mod tests {
-    use clock::Instant;
-    use filbertsail_clock as clock;
+    use filbertsail_clock::Instant;
 
     use super::{Breaker, CONSECUTIVE_FAILURES, State};
 
--- a/components/routing/src/limit/mod.rs
+++ b/components/routing/src/limit/mod.rs
@@ -5,8 +5,7 @@
 
 use std::time::Duration;
 
-use clock::Instant;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 
 /// Least limit.
 const MIN_LIMIT: f64 = 1.0;
@@ -100,8 +99,7 @@
 mod tests {
     use std::time::Duration;
 
-    use clock::Instant;
-    use filbertsail_clock as clock;
+    use filbertsail_clock::Instant;
 
     use super::Limit;
 
--- a/components/routing/src/policy/baseline.rs
+++ b/components/routing/src/policy/baseline.rs
@@ -2,8 +2,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use clock::Instant;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 use rand::{Rng, RngExt};
 
 use super::{Choice, Policy, Reason, eligible};
--- a/components/routing/src/policy/mod.rs
+++ b/components/routing/src/policy/mod.rs
@@ -5,11 +5,9 @@
 
 use std::fmt;
 
-use clock::Instant;
-use collections::arena::Key;
 use derive_more::Display;
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
 use rand::Rng;
 
 use crate::state::{Fleet, Request, Worker, worker::Obstacle};
--- a/components/routing/src/policy/production.rs
+++ b/components/routing/src/policy/production.rs
@@ -4,10 +4,8 @@
 //! gateways send to the same least loaded worker between two reports. A worker that holds the
 //! longest cached prefix of the prompt is compared as a third.
 
-use clock::Instant;
-use collections::arena::Key;
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
 use rand::{Rng, RngExt};
 
 use super::{Choice, Policy, Reason, eligible};
--- a/components/routing/src/queue/mod.rs
+++ b/components/routing/src/queue/mod.rs
@@ -6,8 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use clock::Instant;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 
 /// Cost that a team may spend per round.
 const QUANTUM: u64 = 256;
@@ -197,8 +196,7 @@
 
 #[cfg(test)]
 mod tests {
-    use clock::Instant;
-    use filbertsail_clock as clock;
+    use filbertsail_clock::Instant;
 
     use super::{Entry, Queue};
 
--- a/components/routing/src/state/inventory.rs
+++ b/components/routing/src/state/inventory.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use collections::arena::Key;
-use config::inventory::{Class, Inventory, Service as Entry, Worker as Machine};
-use filbertsail_collections as collections;
-use filbertsail_config as config;
+use filbertsail_collections::arena::Key;
+use filbertsail_config::inventory::{Class, Inventory, Service as Entry, Worker as Machine};
 
 use super::{Fleet, Placement, Service, Worker, Zone, ZoneKey, load::Load, worker::Marks};
 use crate::{breaker::Breaker, budget::Budget, limit::Limit, prefix::View, subset};
--- a/components/routing/src/state/load.rs
+++ b/components/routing/src/state/load.rs
@@ -2,8 +2,7 @@
 
 use std::collections::VecDeque;
 
-use clock::Instant;
-use filbertsail_clock as clock;
+use filbertsail_clock::Instant;
 
 use super::Report;
 
--- a/components/routing/src/state/mod.rs
+++ b/components/routing/src/state/mod.rs
@@ -6,15 +6,12 @@
 
 use std::time::Duration;
 
-use clock::Instant;
-use collections::{
+use filbertsail_clock::Instant;
+use filbertsail_collections::{
     HashMap,
     arena::{Arena, Key},
 };
-use config::inventory::{Class, Service as Entry};
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
-use filbertsail_config as config;
+use filbertsail_config::inventory::{Class, Service as Entry};
 
 pub use worker::{Marks, Report, Worker};
 
--- a/components/routing/src/state/worker.rs
+++ b/components/routing/src/state/worker.rs
@@ -2,11 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use clock::Instant;
-use collections::arena::Key;
 use derive_more::Display;
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
 
 use super::{Fleet, Request, Service, ZoneKey, load::Load};
 use crate::{breaker::Breaker, limit::Limit, prefix::View};
--- a/components/routing/tests/differential.rs
+++ b/components/routing/tests/differential.rs
@@ -2,12 +2,9 @@
 
 use std::time::Duration;
 
-use clock::Instant;
-use collections::arena::Key;
-use config::inventory::{Class, Inventory};
-use filbertsail_clock as clock;
-use filbertsail_collections as collections;
-use filbertsail_config as config;
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
+use filbertsail_config::inventory::{Class, Inventory};
 use filbertsail_routing::{
     policy::{Policy, Production, eligible},
     state::{Fleet, Outcome, Report, Request, Worker, inventory::Viewpoint},
--- a/components/routing/tests/policies.rs
+++ b/components/routing/tests/policies.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use clock::Instant;
-use config::inventory::{Class, Inventory};
-use filbertsail_clock as clock;
-use filbertsail_config as config;
+use filbertsail_clock::Instant;
+use filbertsail_config::inventory::{Class, Inventory};
 use filbertsail_routing::{
     policy::{LeastReported, Policy, Production, RoundRobin},
     prefix::Change,
