--- a/components/rollout/src/ledger/mod.rs
+++ b/components/rollout/src/ledger/mod.rs
@@ -15,8 +15,9 @@
 
 /// Steps whose manifests stay in memory; older ones are answered from the table.
 const KEPT_STEPS: usize = 64;
-/// Batches that may be delivered and not recorded; the cursor must fit a query parameter.
-pub const MAX_TAKEN: usize = 16;
+/// Batches that may be delivered and not recorded; the cursor must fit a query parameter. It covers
+/// a table outage of a minute at steps of 2 s.
+pub const MAX_TAKEN: usize = 32;
 
 /// The one batch of a step.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/rounds/src/cursor/mod.rs
+++ b/components/rounds/src/cursor/mod.rs
@@ -7,8 +7,8 @@
 use filbertsail_wire::link::auth::Key;
 use serde::{Deserialize, Serialize};
 
-/// Largest length of a cursor's text in bytes.
-pub const MAX_BYTES: usize = 16 * 1024;
+/// Largest length of a cursor's text in bytes; a request head may have 32 KiB.
+pub const MAX_BYTES: usize = 24 * 1024;
 /// Set apart from other uses of the cluster key.
 const DOMAIN: &[u8] = b"filbertsail delivery cursor 1\n";
 const MAC_BYTES: usize = 32;
@@ -65,9 +65,10 @@
 
 #[cfg(test)]
 mod tests {
+    use filbertsail_rollout::ledger::{MAX_TAKEN, Manifest, Taken};
     use filbertsail_wire::link::auth::Key;
 
-    use super::Cursor;
+    use super::{Cursor, MAX_BYTES};
 
     /// Guards against forged cursors and cursors of another trainer.
     #[test]
@@ -84,4 +85,22 @@
         *bytes.last_mut().expect("bytes") ^= 1;
         assert_eq!(Cursor::open(&key, "t", &hex::encode(bytes)), None);
     }
+
+    /// Guards against a cursor that has grown too long for the trainer to send it back.
+    #[test]
+    fn can_fit_all_unrecorded_batches() {
+        let key = Key::new(vec![7; 32]);
+        let trainer = "t".repeat(64);
+        let taken = (0..MAX_TAKEN as u64).map(|index| {
+            let step = 1_000_000 + index;
+            let object = format!("manifests/{trainer}/{step}/{}", "a".repeat(64));
+            let digest = "a".repeat(64);
+            let manifest = Manifest { epoch: 99_999, digest, object, oldest: 99_999, bound: 99 };
+            Taken { step, manifest }
+        });
+        let cursor = Cursor { trainer: trainer.clone(), epoch: 99_999, taken: taken.collect() };
+        let text = cursor.seal(&key);
+        assert!(text.len() <= MAX_BYTES, "{} bytes", text.len());
+        assert_eq!(Cursor::open(&key, &trainer, &text), Some(cursor));
+    }
 }
