--- a/components/bench/src/capacity/fleet.rs
+++ b/components/bench/src/capacity/fleet.rs
@@ -18,7 +18,7 @@
     agent::{self, Handle, Identity, Settings},
     lease::Guard,
 };
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     table::{Error, Table, http, resolve},
 };
--- a/components/bench/src/capacity/takeover.rs
+++ b/components/bench/src/capacity/takeover.rs
@@ -9,7 +9,7 @@
     agent::{self, Handle, Identity, Settings},
     lease::{Guard, Times},
 };
-use filbertsail_platform::fake::Table;
+use filbertsail_ports::fake::Table;
 use filbertsail_wire::{frame::Role, link::auth::Key};
 use serde::Serialize;
 use tokio::{
--- a/components/claims/src/sweep/mod.rs
+++ b/components/claims/src/sweep/mod.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertsail_api::table::{Check, Expect, Row, Scan, Transaction, Write};
-use filbertsail_platform::table::{Error, Table};
+use filbertsail_ports::table::{Error, Table};
 
 use crate::row::{Claim, PREFIX};
 
--- a/components/claims/src/task/commit.rs
+++ b/components/claims/src/task/commit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertsail_platform::table::{Error, Table};
+use filbertsail_ports::table::{Error, Table};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout_at},
--- a/components/claims/src/task/mod.rs
+++ b/components/claims/src/task/mod.rs
@@ -14,7 +14,7 @@
 use derive_more::{Display, Error};
 use filbertsail_api::table::{Expect, Query, Row};
 use filbertsail_clock::{self as clock, Instant};
-use filbertsail_platform::{object, table};
+use filbertsail_ports::{object, table};
 use serde_json::to_value;
 use tokio::{
     sync::{mpsc, oneshot},
--- a/components/claims/src/task/ticket.rs
+++ b/components/claims/src/task/ticket.rs
@@ -6,7 +6,7 @@
 use filbertsail_api::table::Expect;
 use filbertsail_clock as clock;
 use filbertsail_errors::Verdict;
-use filbertsail_platform::{object, table};
+use filbertsail_ports::{object, table};
 use filbertsail_telemetry::event::Line;
 use tokio::time::sleep;
 
--- a/components/claims/tests/claims.rs
+++ b/components/claims/tests/claims.rs
@@ -9,7 +9,7 @@
 use filbertsail_claims::{Answer, Begin, row::Claim, sweep};
 use filbertsail_clock::Source as _;
 use filbertsail_errors::Verdict;
-use filbertsail_platform::fake::Fault;
+use filbertsail_ports::fake::Fault;
 use tokio::time::{sleep, timeout};
 
 const WAIT: Duration = Duration::from_secs(20);
--- a/components/claims/tests/common/mod.rs
+++ b/components/claims/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use filbertsail_claims::{Answer, Begin, Claims, Key, Members, Setup};
 use filbertsail_clock::{self as clock, Instant};
 use filbertsail_errors::Verdict;
-use filbertsail_platform::{
+use filbertsail_ports::{
     fake, object,
     table::{Error, Table},
 };
--- a/components/claims/tests/stateful.rs
+++ b/components/claims/tests/stateful.rs
@@ -7,7 +7,7 @@
 use common::{Backend, Told, World};
 use filbertsail_api::table::Transaction;
 use filbertsail_errors::Verdict;
-use filbertsail_platform::{fake::Fault, table::Table as _};
+use filbertsail_ports::{fake::Fault, table::Table as _};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
--- a/components/cluster/src/agent/handle.rs
+++ b/components/cluster/src/agent/handle.rs
@@ -4,7 +4,7 @@
 
 use filbertsail_api::admin::{Applied, Apply};
 use filbertsail_collections::HashSet;
-use filbertsail_platform::table::Table;
+use filbertsail_ports::table::Table;
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::frame::{Config, Done, Fault, Frame, Pull};
 use tokio::{
--- a/components/cluster/src/agent/mod.rs
+++ b/components/cluster/src/agent/mod.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use filbertsail_clock::{Boot, Source};
-use filbertsail_platform::{budget::Budget, table::Table};
+use filbertsail_ports::{budget::Budget, table::Table};
 use filbertsail_telemetry::metrics::Registry;
 use filbertsail_wire::{
     frame::{Condition, Hello, Member, Role},
--- a/components/cluster/src/config/apply.rs
+++ b/components/cluster/src/config/apply.rs
@@ -5,7 +5,7 @@
     admin::{Apply, Lost},
     table::{Check, Expect, Query, Row, Transaction, Write},
 };
-use filbertsail_platform::table::{self, Table};
+use filbertsail_ports::table::{self, Table};
 
 use super::{HEAD, Head, Snapshot, Version, key, task::value};
 
--- a/components/cluster/src/config/task.rs
+++ b/components/cluster/src/config/task.rs
@@ -4,7 +4,7 @@
 
 use filbertsail_api::table::{Query, Row};
 use filbertsail_clock::{Instant, Source};
-use filbertsail_platform::table::Table;
+use filbertsail_ports::table::Table;
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::frame::{Config, Frame, Hint, Pull};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
--- a/components/cluster/src/lease/gate.rs
+++ b/components/cluster/src/lease/gate.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use filbertsail_api::table::Query;
 use filbertsail_collections::HashMap;
-use filbertsail_platform::table::{self, Table};
+use filbertsail_ports::table::{self, Table};
 
 use super::{Value, key};
 
--- a/components/cluster/src/lease/task.rs
+++ b/components/cluster/src/lease/task.rs
@@ -5,7 +5,7 @@
 use filbertsail_api::table::{Commit, Query, Row, Transaction};
 use filbertsail_clock::{Instant, Source};
 use filbertsail_collections::HashMap;
-use filbertsail_platform::table::{Error, Table};
+use filbertsail_ports::table::{Error, Table};
 use filbertsail_telemetry::event::Line;
 use tokio::{
     sync::{mpsc, watch},
--- a/components/cluster/src/member/task.rs
+++ b/components/cluster/src/member/task.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use filbertsail_clock::{Instant, Source};
-use filbertsail_platform::budget::Budget;
+use filbertsail_ports::budget::Budget;
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::frame::{Condition, Digest, Frame, Member};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
--- a/components/cluster/tests/agent/common.rs
+++ b/components/cluster/tests/agent/common.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use filbertsail_cluster::agent::{self, Handle, Identity, Settings};
-use filbertsail_platform::fake::Table;
+use filbertsail_ports::fake::Table;
 use filbertsail_wire::{
     Frame,
     frame::{Hello, Role},
--- a/components/cluster/tests/agent/config_model.rs
+++ b/components/cluster/tests/agent/config_model.rs
@@ -8,7 +8,7 @@
     agent::{Handle, Settings, start_with_clock},
     config::{self, Version, apply::Error},
 };
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     fake::{Fault, Table as Fake},
     table::resolve::Client,
--- a/components/cluster/tests/gate.rs
+++ b/components/cluster/tests/gate.rs
@@ -5,7 +5,7 @@
     gate::{Gate, Refusal},
     key,
 };
-use filbertsail_platform::{fake::Table as Fake, table::Table};
+use filbertsail_ports::{fake::Table as Fake, table::Table};
 use serde_json::json;
 
 const SCOPE: &str = "weights/advisor-lm";
--- a/components/cluster/tests/membership.rs
+++ b/components/cluster/tests/membership.rs
@@ -8,7 +8,7 @@
 
 use filbertsail_clock::Instant;
 use filbertsail_cluster::member::view::View;
-use filbertsail_platform::budget::{Budget, Rates};
+use filbertsail_ports::budget::{Budget, Rates};
 use filbertsail_wire::{
     codec,
     frame::{Condition, Digest, Frame, Member, Role},
--- a/components/controller/src/daemon/mod.rs
+++ b/components/controller/src/daemon/mod.rs
@@ -15,7 +15,7 @@
 use filbertsail_cluster::{agent, lease, member};
 use filbertsail_config::settings::Settings;
 use filbertsail_http::{client::Client as Http, server, tls, token};
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     object, table, weight,
 };
--- a/components/controller/src/daemon/supervisor.rs
+++ b/components/controller/src/daemon/supervisor.rs
@@ -5,7 +5,7 @@
 use filbertsail_clock::Boot;
 use filbertsail_cluster::agent;
 use filbertsail_config::inventory::{Inventory, Kind};
-use filbertsail_platform::{object, weight};
+use filbertsail_ports::{object, weight};
 use filbertsail_rollout::wave;
 use filbertsail_rounds::row;
 use tokio::{
--- a/components/controller/src/peers/mod.rs
+++ b/components/controller/src/peers/mod.rs
@@ -7,7 +7,7 @@
 
 use filbertsail_cluster::agent;
 use filbertsail_errors::Verdict;
-use filbertsail_platform::table::Table;
+use filbertsail_ports::table::Table;
 use filbertsail_wire::{
     Frame,
     frame::{Done, Fault, Hello},
--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -4,7 +4,7 @@
 
 use filbertsail_api::trainer::{Batch, Group};
 use filbertsail_clock::{Instant, Source};
-use filbertsail_platform::{
+use filbertsail_ports::{
     object::Store,
     table::{Error, Table},
 };
--- a/components/controller/src/trainer/load.rs
+++ b/components/controller/src/trainer/load.rs
@@ -6,7 +6,7 @@
     table::Query,
     trainer::{Group, Round},
 };
-use filbertsail_platform::{
+use filbertsail_ports::{
     backoff::Backoff,
     object::{Error, Store},
     table::Table,
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -14,7 +14,7 @@
 use filbertsail_clock::Source;
 use filbertsail_cluster::lease::Holding;
 use filbertsail_http::client::Client as Http;
-use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_ports::{object::Store, table::Table};
 use filbertsail_rollout::policy::Policy;
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{
--- a/components/controller/src/trainer/offer.rs
+++ b/components/controller/src/trainer/offer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use filbertsail_clock::Source;
-use filbertsail_platform::{
+use filbertsail_ports::{
     object::Store,
     table::{Error, Table},
 };
--- a/components/controller/src/trainer/ops.rs
+++ b/components/controller/src/trainer/ops.rs
@@ -1,7 +1,7 @@
 //! Calls to the table service; at most one is under way per trainer.
 
 use filbertsail_api::table::{Expect, Query, Row, Scan, Transaction};
-use filbertsail_platform::table::{Error, Table};
+use filbertsail_ports::table::{Error, Table};
 use filbertsail_rollout::ledger::{Manifest, Record, Taken};
 use filbertsail_rounds::{row, token};
 use serde_json::Value;
--- a/components/controller/src/trainer/schedule.rs
+++ b/components/controller/src/trainer/schedule.rs
@@ -7,7 +7,7 @@
 
 use filbertsail_api::trainer::ScoreRequest;
 use filbertsail_clock::{Instant, Source};
-use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_ports::{object::Store, table::Table};
 use filbertsail_rollout::{
     round::{Attempt, Finish, Key},
     scheduler::{self, Job, Start, View},
--- a/components/controller/src/trainer/score.rs
+++ b/components/controller/src/trainer/score.rs
@@ -4,7 +4,7 @@
 
 use filbertsail_api::trainer::{ScoreRequest, ScoreResponse};
 use filbertsail_http::{Body, client::Client};
-use filbertsail_platform::backoff::Backoff;
+use filbertsail_ports::backoff::Backoff;
 use filbertsail_rollout::round::Key;
 use http::Request;
 use tokio::{sync::Semaphore, time::sleep};
--- a/components/controller/src/trainer/store.rs
+++ b/components/controller/src/trainer/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertsail_platform::{backoff::Backoff, object::Store};
+use filbertsail_ports::{backoff::Backoff, object::Store};
 use tokio::time::sleep;
 
 const BACKOFF: Backoff = Backoff { base: Duration::from_millis(50), max: Duration::from_secs(2) };
--- a/components/controller/src/trainer/term.rs
+++ b/components/controller/src/trainer/term.rs
@@ -9,7 +9,7 @@
 use filbertsail_api::trainer::Group;
 use filbertsail_clock::{Instant, Source};
 use filbertsail_cluster::lease::Holding;
-use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_ports::{object::Store, table::Table};
 use filbertsail_rollout::{
     ledger::{Ledger, Table as Reach, Taken},
     scheduler::Need,
--- a/components/controller/src/weights/mod.rs
+++ b/components/controller/src/weights/mod.rs
@@ -5,7 +5,7 @@
 use filbertsail_clock::{Instant, Source};
 use filbertsail_cluster::lease::Holding;
 use filbertsail_errors::Verdict;
-use filbertsail_platform::weight::Store;
+use filbertsail_ports::weight::Store;
 use filbertsail_rollout::wave::{self, Pace, Wave, Worker};
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{
--- a/components/controller/tests/daemon.rs
+++ b/components/controller/tests/daemon.rs
@@ -14,7 +14,7 @@
 use filbertsail_controller::daemon as controller;
 use filbertsail_gateway::daemon as gateway;
 use filbertsail_http::client::Client as Http;
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     table,
 };
--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -9,7 +9,7 @@
     trainer::{Batch, Round},
 };
 use filbertsail_config::inventory::Inventory;
-use filbertsail_platform::fake::Fault;
+use filbertsail_ports::fake::Fault;
 use filbertsail_rollout::policy::Policy;
 use filbertsail_rounds::{
     client::{Client, Error, Fetched, State},
--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -27,7 +27,7 @@
     server::{Handler as Serve, Limits, serve as serve_http},
     token,
 };
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     fake,
     table::{Table as _, resolve},
--- a/components/controller/tests/support/store.rs
+++ b/components/controller/tests/support/store.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use filbertsail_platform::object::{Error, Store};
+use filbertsail_ports::object::{Error, Store};
 
 #[derive(Clone, Default)]
 pub struct Objects(Arc<Mutex<State>>);
--- a/components/controller/tests/weights.rs
+++ b/components/controller/tests/weights.rs
@@ -11,7 +11,7 @@
     gateways::{Gateway, Links},
     weights::{Ports, Rules, run, scope},
 };
-use filbertsail_platform::weight::{Error, Store};
+use filbertsail_ports::weight::{Error, Store};
 use filbertsail_rollout::wave;
 use filbertsail_wire::frame::Order;
 use support::{Fleet, hello, key, metrics};
--- /dev/null
+++ b/components/entry/src/batch/plan.rs
@@ -0,0 +1,103 @@
+//! Which waiting item goes to which worker.
+//!
+//! Load pattern: a step submits more items than there are slots, lengths differ by a factor of
+//! twenty, and the trainer goes on when nine groups in ten are whole. Items of wanted groups go
+//! first, and among them the longest, since the longest item bounds the step. Items of other
+//! groups fill what is left.
+
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key;
+
+use super::run::{Phase, Run};
+use crate::{
+    config::Engine,
+    fleet::{Fleet, Need, Worker},
+};
+
+/// Priority at the worker of items that the trainer waits for; 5 is the worker's own default.
+const WANTED_PRIORITY: u8 = 4;
+/// Priority of the others.
+const OTHER_PRIORITY: u8 = 6;
+/// Expected tokens up to which an item may go to a slow worker while others have no room.
+const SHORT_TOKENS: u64 = 600;
+
+/// Item to dispatch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Index of the run.
+    pub run: usize,
+    /// Index of the item.
+    pub item: usize,
+    /// Worker.
+    pub worker: Key<Worker>,
+    /// Tokens that it is expected to hold in memory.
+    pub tokens: u64,
+    /// Priority at the worker.
+    pub priority: u8,
+}
+
+/// Waiting items of all runs, most urgent first.
+#[must_use]
+pub fn order(runs: &[&Run], now: Instant) -> Vec<(usize, usize)> {
+    let mut waiting: Vec<(bool, u64, usize, usize)> = Vec::new();
+    for (index, run) in runs.iter().enumerate() {
+        for (item, slot) in run.slots.iter().enumerate() {
+            let Phase::Waiting(from) = slot.phase else { continue };
+            if from > now {
+                continue;
+            }
+            let entry = &run.submission.items[item];
+            let left = remaining(run, item);
+            waiting.push((!run.wanted[entry.group as usize], u64::MAX - left, index, item));
+        }
+    }
+    waiting.sort_unstable();
+    waiting.into_iter().map(|(_, _, run, item)| (run, item)).collect()
+}
+
+/// Tokens that an item is still expected to produce. An item that has passed its estimate is
+/// expected to go on for half as long again.
+#[must_use]
+pub fn remaining(run: &Run, item: usize) -> u64 {
+    let entry = &run.submission.items[item];
+    let events = u64::from(run.slots[item].output.lock().partial.events);
+    if events == 0 {
+        return entry.expected_tokens;
+    }
+    let done = events * run.stride;
+    let left = entry.expected_tokens.saturating_sub(done).max(done / 2);
+    left.min(entry.max_tokens.saturating_sub(done).max(1))
+}
+
+/// Worker for one item.
+#[must_use]
+pub fn place(
+    run: &Run,
+    item: usize,
+    service: &str,
+    zone: &str,
+    engine: &Engine,
+    fleet: &Fleet,
+    now: Instant,
+) -> Option<Placement> {
+    let entry = &run.submission.items[item];
+    let group = entry.group as usize;
+    let tokens = entry.prompt_tokens + entry.expected_tokens.min(entry.max_tokens);
+    let wanted = run.wanted[group];
+    let need = Need {
+        service,
+        zone,
+        model: &run.submission.model,
+        min_version: run.submission.min_version,
+        tokens,
+        group: run.prompts[group],
+        avoid: run.slots[item].avoid,
+        allow_slow: !wanted || entry.expected_tokens <= SHORT_TOKENS,
+    };
+    let worker = fleet.place(&need, engine.kv_tokens, now).or_else(|| {
+        // Better a slow worker, or the one that failed, than none.
+        fleet.place(&Need { allow_slow: true, avoid: None, ..need }, engine.kv_tokens, now)
+    })?;
+    let priority = if wanted { WANTED_PRIORITY } else { OTHER_PRIORITY };
+    Some(Placement { run: 0, item, worker, tokens, priority })
+}
--- /dev/null
+++ b/components/entry/src/batch/rows.rs
@@ -0,0 +1,208 @@
+//! Rows of batches in the store.
+//!
+//! | table | key | value |
+//! | --- | --- | --- |
+//! | `batches` | batch | [`Meta`] |
+//! | `bodies` | batch, writer, number | a piece of the [`Submission`] |
+//! | `results` | batch, position, number | a piece of a [`Listed`] |
+//! | `partials` | batch, item | a [`Partial`], written at a handover |
+//!
+//! All rows of a batch share a part, which follows from its identifier. The number of parts is
+//! fixed, so that a fresh VM reads all owners' rows in a few calls. Owners that run batches renew a
+//! row of their own in `batches`, so that one feed shows both.
+
+use std::hash::{Hash, Hasher};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use filbertsail_ports::store::{Key, MAX_VALUE_BYTES, Range, Row};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{Listed, Meta, Owner, Submission};
+
+/// Table of owners' rows.
+pub const BATCHES: &str = "batches";
+/// Table of submissions.
+pub const BODIES: &str = "bodies";
+/// Table of results.
+pub const RESULTS: &str = "results";
+/// Table of unfinished outputs.
+pub const PARTIALS: &str = "partials";
+/// Part of the rows that owners renew.
+pub const VM_PART: &str = "vm";
+/// Parts over which batches are spread. A part commits 200 transactions a second, and a batch needs
+/// some tens.
+const PARTS: u64 = 8;
+/// Rows per read.
+pub const LIMIT: usize = 500;
+
+/// Bytes that are no row of this kind.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("row cannot be decoded: {_0}")]
+pub struct Corrupt(#[error(not(source))] String);
+
+/// Parts of the table of owners' rows.
+#[must_use]
+pub fn parts() -> Vec<String> {
+    (0..PARTS).map(name).chain([VM_PART.to_owned()]).collect()
+}
+
+/// Part of a batch.
+#[must_use]
+pub fn part(batch: &str) -> String {
+    name(hash(batch) % PARTS)
+}
+
+fn name(index: u64) -> String {
+    format!("b{index}")
+}
+
+/// Hash that is the same on all VMs.
+#[must_use]
+pub fn hash(text: &str) -> u64 {
+    let mut hasher = filbertsail_collections::Hasher::default();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Key of the owner's row.
+#[must_use]
+pub fn meta(batch: &str) -> Key {
+    Key { table: BATCHES, part: part(batch), key: batch.to_owned() }
+}
+
+/// Key of the row that a VM renews.
+#[must_use]
+pub fn vm(vm: &str) -> Key {
+    Key { table: BATCHES, part: VM_PART.to_owned(), key: vm.to_owned() }
+}
+
+/// Key of a piece of a submission.
+#[must_use]
+pub fn body(batch: &str, writer: &Owner, number: usize) -> Key {
+    let key = format!("{}{number:04}", body_prefix(batch, writer));
+    Key { table: BODIES, part: part(batch), key }
+}
+
+fn body_prefix(batch: &str, writer: &Owner) -> String {
+    format!("{batch}/{}/{:016x}/", writer.vm, writer.incarnation)
+}
+
+/// Range of the pieces of a submission.
+#[must_use]
+pub fn bodies(batch: &str, writer: &Owner) -> Range {
+    range(BODIES, batch, body_prefix(batch, writer))
+}
+
+/// Key of a piece of a result.
+#[must_use]
+pub fn result(batch: &str, position: usize, number: usize) -> Key {
+    Key { table: RESULTS, part: part(batch), key: format!("{batch}/{position:06}/{number:03}") }
+}
+
+/// Range of the results from `position` on.
+#[must_use]
+pub fn results(batch: &str, position: usize) -> Range {
+    let mut range = range(RESULTS, batch, format!("{batch}/"));
+    range.from = format!("{batch}/{position:06}/");
+    range
+}
+
+/// Key of an unfinished output.
+#[must_use]
+pub fn partial(batch: &str, item: usize) -> Key {
+    Key { table: PARTIALS, part: part(batch), key: format!("{batch}/{item:06}") }
+}
+
+/// Range of the unfinished outputs.
+#[must_use]
+pub fn partials(batch: &str) -> Range {
+    range(PARTIALS, batch, format!("{batch}/"))
+}
+
+fn range(table: &'static str, batch: &str, prefix: String) -> Range {
+    // The byte after the slash ends the range of keys with the prefix.
+    let to = format!("{}0", &prefix[..prefix.len() - 1]);
+    Range { table, part: part(batch), from: prefix, to, limit: LIMIT }
+}
+
+/// Encodes a value.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    // Types with derived encodings into memory cannot fail.
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default().into()
+}
+
+/// Decodes a value.
+///
+/// # Errors
+/// Fails if the bytes are of another type.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Corrupt> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(value, _)| value)
+        .map_err(|error| Corrupt(error.to_string()))
+}
+
+/// Pieces of a value that fit into rows.
+pub fn pieces(bytes: &Bytes) -> impl Iterator<Item = Bytes> + '_ {
+    let count = bytes.len().div_ceil(MAX_VALUE_BYTES).max(1);
+    (0..count).map(move |index| {
+        let start = index * MAX_VALUE_BYTES;
+        bytes.slice(start..bytes.len().min(start + MAX_VALUE_BYTES))
+    })
+}
+
+/// Rows of one result.
+#[must_use]
+pub fn encode_result(batch: &str, position: usize, listed: &Listed) -> Vec<(Key, Bytes)> {
+    let bytes = encode(listed);
+    pieces(&bytes)
+        .enumerate()
+        .map(|(number, piece)| (result(batch, position, number), piece))
+        .collect()
+}
+
+/// Puts results together from their rows; a last result whose rows are cut off is left out.
+///
+/// # Errors
+/// Fails if a result cannot be decoded or a position is missing.
+pub fn decode_results(rows: &[Row], first: usize) -> Result<Vec<Listed>, Corrupt> {
+    let mut results: Vec<Listed> = Vec::new();
+    let mut index = 0;
+    while index < rows.len() {
+        let position = position(&rows[index])?;
+        if position != first + results.len() {
+            return Err(Corrupt(format!("position {position} follows a gap")));
+        }
+        let mut bytes = Vec::new();
+        while index < rows.len() && self::position(&rows[index])? == position {
+            bytes.extend_from_slice(rows[index].value.as_deref().unwrap_or_default());
+            index += 1;
+        }
+        match decode(&bytes) {
+            Ok(listed) => results.push(listed),
+            Err(_) if index == rows.len() => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(results)
+}
+
+fn position(row: &Row) -> Result<usize, Corrupt> {
+    let mut parts = row.key.rsplit('/');
+    let position = parts.nth(1).and_then(|text| text.parse().ok());
+    position.ok_or_else(|| Corrupt(format!("key {}", row.key)))
+}
+
+/// Puts a submission together from its rows.
+///
+/// # Errors
+/// Fails if rows are missing or cannot be decoded.
+pub fn decode_submission(rows: &[Row], meta: &Meta) -> Result<Submission, Corrupt> {
+    if rows.len() != meta.chunks as usize {
+        return Err(Corrupt(format!("{} of {} pieces", rows.len(), meta.chunks)));
+    }
+    let bytes: Vec<u8> =
+        rows.iter().flat_map(|row| row.value.as_deref().unwrap_or_default()).copied().collect();
+    decode(&bytes)
+}
--- /dev/null
+++ b/components/entry/src/batch/run.rs
@@ -0,0 +1,240 @@
+//! State of one batch at its owner.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use filbertsail_clock::Instant;
+use filbertsail_collections::{HashMap, arena::Key};
+use tokio::task::AbortHandle;
+
+use super::{Listed, Meta, Outcome, Partial, Submission, board::Board};
+use crate::fleet::Worker;
+
+/// Output of an item so far, written by the task that reads it.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Text, versions and last event.
+    pub partial: Partial,
+    /// When the newest event came.
+    pub last_at: Option<Instant>,
+}
+
+/// Shared progress, cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Output(Arc<Mutex<Progress>>);
+
+impl Output {
+    /// Output that goes on from `partial`.
+    #[must_use]
+    pub fn new(partial: Partial) -> Self {
+        Self(Arc::new(Mutex::new(Progress { partial, last_at: None })))
+    }
+
+    /// Progress so far.
+    #[must_use]
+    pub fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What an item is doing.
+#[derive(Debug)]
+pub enum Phase {
+    /// It waits for a worker, at the earliest until the given time.
+    Waiting(Instant),
+    /// It runs.
+    Running(Running),
+    /// It ended and waits to be listed, or is listed.
+    Ended,
+}
+
+/// Run of an item at a worker.
+#[derive(Debug)]
+pub struct Running {
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// Worker.
+    pub worker: Key<Worker>,
+    /// Tokens that it is expected to hold in memory.
+    pub tokens: u64,
+    /// When it was sent.
+    pub since: Instant,
+    /// Ends the run and closes its connection.
+    pub abort: AbortHandle,
+}
+
+/// Item with its state.
+#[derive(Debug)]
+pub struct Slot {
+    /// What it is doing.
+    pub phase: Phase,
+    /// Output so far.
+    pub output: Output,
+    /// Failures that the worker stated.
+    pub failures: u32,
+    /// Worker that it last failed on.
+    pub avoid: Option<Key<Worker>>,
+    /// Runs so far.
+    pub runs: u32,
+}
+
+/// Results on their way to the store. A transaction without an answer is repeated as it is, so that
+/// a late commit and its repetition give the same positions.
+#[derive(Clone, Debug)]
+pub struct Storing {
+    /// First position.
+    pub first: usize,
+    /// Results.
+    pub results: Vec<Listed>,
+}
+
+/// Batch at its owner.
+#[derive(Debug)]
+pub struct Run {
+    /// Owner's row.
+    pub meta: Meta,
+    /// Version of the owner's row.
+    pub version: u64,
+    /// Submission.
+    pub submission: Arc<Submission>,
+    /// When it was accepted.
+    pub accepted: Instant,
+    /// Items in the order of the submission.
+    pub slots: Vec<Slot>,
+    /// Readers' view.
+    pub board: Arc<Board>,
+    /// Results stored so far.
+    pub stored: usize,
+    /// Results that wait to be stored.
+    pub finished: VecDeque<Listed>,
+    /// Results being stored.
+    pub storing: Option<Storing>,
+    /// Worker that has read the prompt of each group.
+    pub prompts: Vec<Option<Key<Worker>>>,
+    /// Whether the trainer waits for each group.
+    pub wanted: Vec<bool>,
+    /// Tokens of an event.
+    pub stride: u64,
+    /// Expected tokens of output of each group's longest item.
+    pub spans: Vec<u64>,
+    ids: HashMap<String, usize>,
+}
+
+impl Run {
+    /// State of a batch of which `listed` are stored and `partials` are known.
+    #[must_use]
+    pub fn new(
+        meta: Meta,
+        version: u64,
+        submission: Arc<Submission>,
+        accepted: Instant,
+        listed: Vec<Listed>,
+        partials: Vec<Partial>,
+    ) -> Self {
+        let ids: HashMap<String, usize> = submission
+            .items
+            .iter()
+            .enumerate()
+            .map(|(index, item)| (item.id.clone(), index))
+            .collect();
+        let mut slots: Vec<Slot> = submission.items.iter().map(|_| Slot::default()).collect();
+        for partial in partials {
+            if let Some(&index) = ids.get(&partial.id) {
+                slots[index].output = Output::new(partial);
+            }
+        }
+        for listed in &listed {
+            if let Some(&index) = ids.get(&listed.id) {
+                slots[index].phase = Phase::Ended;
+            }
+        }
+        let groups = submission.groups.len();
+        let mut run = Self {
+            meta,
+            version,
+            accepted,
+            slots,
+            stored: listed.len(),
+            board: Arc::new(Board::new(Arc::clone(&submission), listed)),
+            submission,
+            finished: VecDeque::new(),
+            storing: None,
+            prompts: vec![None; groups],
+            wanted: vec![false; groups],
+            stride: 1,
+            spans: vec![0; groups],
+            ids,
+        };
+        run.measure_groups();
+        run
+    }
+
+    fn measure_groups(&mut self) {
+        for item in &self.submission.items {
+            let span = &mut self.spans[item.group as usize];
+            *span = item.expected_tokens.max(*span);
+        }
+    }
+
+    /// Marks the groups that the trainer waits for: those carried over from an earlier step, then
+    /// the ones that are expected to be done first.
+    pub fn want_groups(&mut self, is_carried: impl Fn(&str) -> bool) {
+        let mut order: Vec<usize> = (0..self.spans.len()).collect();
+        let groups = &self.submission.groups;
+        order.sort_by_key(|&group| (!is_carried(&groups[group]), self.spans[group], group));
+        for &group in order.iter().take(self.submission.wanted as usize) {
+            self.wanted[group] = true;
+        }
+    }
+
+    /// Index of an item.
+    #[must_use]
+    pub fn index(&self, item: &str) -> Option<usize> {
+        self.ids.get(item).copied()
+    }
+
+    /// Takes note that an item ended; the result waits to be stored.
+    pub fn end_item(&mut self, index: usize, outcome: Outcome) {
+        let slot = &mut self.slots[index];
+        slot.phase = Phase::Ended;
+        let partial = std::mem::take(&mut slot.output.lock().partial);
+        let mut versions = partial.versions;
+        versions.sort_unstable();
+        let text = if outcome == Outcome::Completed { partial.text } else { String::new() };
+        let versions = if outcome == Outcome::Completed { versions } else { Vec::new() };
+        let id = self.submission.items[index].id.clone();
+        self.finished.push_back(Listed { id, outcome, text, versions });
+    }
+
+    /// Whether every item has ended.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.slots.iter().all(|slot| matches!(slot.phase, Phase::Ended))
+    }
+
+    /// Whether every item is listed.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.stored == self.slots.len()
+    }
+
+    /// Items that wait or run.
+    #[must_use]
+    pub fn open_items(&self) -> usize {
+        self.slots.iter().filter(|slot| !matches!(slot.phase, Phase::Ended)).count()
+    }
+}
+
+impl Default for Slot {
+    fn default() -> Self {
+        Self {
+            phase: Phase::Waiting(Instant::default()),
+            output: Output::default(),
+            failures: 0,
+            avoid: None,
+            runs: 0,
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/batch/takeover.rs
@@ -0,0 +1,242 @@
+//! Which batches of other owners this VM takes over, and how.
+//!
+//! An owner is gone when its VM has announced another incarnation, when it handed the batch over,
+//! or when it has not renewed its row for a while although this VM's feed was steady all the time.
+//! Candidates wait for different times, and the store decides between them.
+
+use std::{sync::Arc, time::Duration};
+
+use filbertsail_clock::Instant;
+use filbertsail_collections::HashMap;
+use filbertsail_ports::store::{Fault, Range, Row, Store, Transaction};
+use filbertsail_telemetry::event::Line;
+
+use super::{Listed, Meta, Owner, Partial, Submission, rows};
+
+/// Time between two renewals of an owner's row.
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Silence after which an owner counts as gone: three renewals.
+pub const SILENCE: Duration = Duration::from_millis(3_000);
+/// Time over which candidates spread, so that few of them meet.
+const SPREAD: Duration = Duration::from_millis(400);
+
+/// Batch that this VM now owns.
+#[derive(Clone, Debug)]
+pub struct Adoption {
+    /// Batch.
+    pub batch: String,
+    /// Owner's row.
+    pub meta: Meta,
+    /// Its version.
+    pub version: u64,
+    /// Submission.
+    pub submission: Arc<Submission>,
+    /// Results listed so far.
+    pub listed: Vec<Listed>,
+    /// Unfinished outputs of a handover.
+    pub partials: Vec<Partial>,
+}
+
+/// Owner's row as last seen.
+#[derive(Clone, Debug)]
+struct Known {
+    meta: Meta,
+    version: u64,
+    seen: Instant,
+    /// When the owner was first taken to be gone.
+    gone: Option<Instant>,
+    claiming: bool,
+}
+
+/// Row that a VM renews, as last seen.
+#[derive(Clone, Copy, Debug)]
+struct Renewal {
+    incarnation: u64,
+    seen: Instant,
+}
+
+/// Owners' rows of all batches.
+#[derive(Debug)]
+pub struct Register {
+    me: Owner,
+    batches: HashMap<String, Known>,
+    vms: HashMap<String, Renewal>,
+}
+
+impl Register {
+    /// Empty register of the process `me`.
+    #[must_use]
+    pub fn new(me: Owner) -> Self {
+        Self { me, batches: HashMap::default(), vms: HashMap::default() }
+    }
+
+    /// Notes the row of a batch; returns whether it is news.
+    pub fn note(&mut self, batch: &str, meta: Meta, version: u64, now: Instant) -> bool {
+        if self.batches.get(batch).is_some_and(|known| known.version >= version) {
+            return false;
+        }
+        let known = Known { meta, version, seen: now, gone: None, claiming: false };
+        self.batches.insert(batch.to_owned(), known);
+        true
+    }
+
+    /// Forgets a batch whose row was deleted.
+    pub fn forget(&mut self, batch: &str) {
+        self.batches.remove(batch);
+    }
+
+    /// Notes the row that a VM renews.
+    pub fn renewed(&mut self, vm: &str, incarnation: u64, now: Instant) {
+        self.vms.insert(vm.to_owned(), Renewal { incarnation, seen: now });
+    }
+
+    /// Whether this VM's row names an earlier process, whose batches wait for a new owner.
+    #[must_use]
+    pub fn must_announce(&self) -> bool {
+        self.vms.get(&self.me.vm).is_some_and(|row| row.incarnation != self.me.incarnation)
+    }
+
+    /// A claim did not succeed; the row's next change or the next look decides.
+    pub fn unclaimed(&mut self, batch: &str) {
+        if let Some(known) = self.batches.get_mut(batch) {
+            known.claiming = false;
+        }
+    }
+
+    /// Batches to claim now. `steady_since` is when this VM's feed last began to be steady.
+    pub fn due(
+        &mut self,
+        steady_since: Instant,
+        now: Instant,
+        runs_here: impl Fn(&str) -> bool,
+    ) -> Vec<(String, Meta, u64)> {
+        let mut due = Vec::new();
+        for (batch, known) in &mut self.batches {
+            let closed = known.meta.ended || known.meta.complete;
+            if closed || known.claiming || runs_here(batch) {
+                continue;
+            }
+            if !is_gone(&known.meta, known.seen, &self.vms, &self.me, steady_since, now) {
+                known.gone = None;
+                continue;
+            }
+            let since = *known.gone.get_or_insert(now);
+            if now >= since.after(delay(&self.me, batch, &known.meta)) {
+                known.claiming = true;
+                due.push((batch.clone(), known.meta.clone(), known.version));
+            }
+        }
+        due
+    }
+
+    /// Batches whose rows may be deleted: ended or complete, and older than `retention` by the
+    /// store's clock `store_ms`.
+    #[must_use]
+    pub fn outdated(&self, store_ms: u64, retention_ms: u64) -> Vec<(String, Meta, u64)> {
+        self.batches
+            .iter()
+            .filter(|(_, known)| known.meta.ended || known.meta.complete)
+            .filter(|(_, known)| store_ms > known.meta.accepted_ms + retention_ms)
+            .map(|(batch, known)| (batch.clone(), known.meta.clone(), known.version))
+            .collect()
+    }
+}
+
+fn is_gone(
+    meta: &Meta,
+    seen: Instant,
+    vms: &HashMap<String, Renewal>,
+    me: &Owner,
+    steady_since: Instant,
+    now: Instant,
+) -> bool {
+    let Some(owner) = &meta.owner else { return true };
+    if owner == me {
+        // A commit whose answer was lost; the task takes it up like any other claim.
+        return now.since(seen) >= Duration::from_millis(300);
+    }
+    if owner.vm == me.vm {
+        return true;
+    }
+    let renewal = vms.get(&owner.vm);
+    if renewal.is_some_and(|row| row.incarnation != owner.incarnation && row.seen > seen) {
+        return true;
+    }
+    let heard = renewal.map_or(seen, |row| row.seen.max(seen)).max(steady_since);
+    now.since(heard) >= SILENCE
+}
+
+/// Time for which a candidate waits: none for the VM whose own process was replaced.
+fn delay(me: &Owner, batch: &str, meta: &Meta) -> Duration {
+    if meta.owner.as_ref().is_some_and(|owner| owner.vm == me.vm) {
+        return Duration::ZERO;
+    }
+    let draw = rows::hash(&format!("{batch}/{}", me.vm)) >> 32;
+    SPREAD.mul_f64(draw as f64 / f64::from(u32::MAX))
+}
+
+/// Claims a batch and reads what is known of it.
+///
+/// # Errors
+/// Fails if another VM was faster or the store does not answer.
+pub async fn claim<S: Store>(
+    store: &S,
+    me: &Owner,
+    batch: &str,
+    meta: Meta,
+    version: u64,
+) -> Result<Adoption, Fault> {
+    let meta = Meta { owner: Some(me.clone()), epoch: meta.epoch + 1, ..meta };
+    let transaction = Transaction {
+        checks: vec![(rows::meta(batch), version)],
+        writes: vec![(rows::meta(batch), rows::encode(&meta))],
+        deletes: Vec::new(),
+    };
+    let commit = store.transact(transaction).await?;
+    load(store, batch, meta, commit.version).await
+}
+
+/// Reads what is known of a batch that this VM owns.
+///
+/// # Errors
+/// Fails if the store does not answer, or a row cannot be decoded.
+pub async fn load<S: Store>(
+    store: &S,
+    batch: &str,
+    meta: Meta,
+    version: u64,
+) -> Result<Adoption, Fault> {
+    let corrupt = |error: rows::Corrupt| {
+        Line::new("batch_unreadable").with("batch", batch).with("reason", &error).error();
+        Fault::Unavailable(error.to_string())
+    };
+    let body = read(store, rows::bodies(batch, &meta.writer)).await?;
+    let submission = rows::decode_submission(&body, &meta).map_err(corrupt)?;
+    let results = read(store, rows::results(batch, 0)).await?;
+    let listed = rows::decode_results(&results, 0).map_err(corrupt)?;
+    let mut partials = Vec::new();
+    for row in read(store, rows::partials(batch)).await? {
+        partials.push(rows::decode(row.value.as_deref().unwrap_or_default()).map_err(corrupt)?);
+    }
+    let submission = Arc::new(submission);
+    Ok(Adoption { batch: batch.to_owned(), meta, version, submission, listed, partials })
+}
+
+/// Reads a whole range.
+///
+/// # Errors
+/// Fails if the store does not answer.
+pub async fn read<S: Store>(store: &S, mut range: Range) -> Result<Vec<Row>, Fault> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let mut page = store.range(range.clone()).await?;
+        let more = page.has_more && !page.rows.is_empty();
+        if let Some(last) = page.rows.last() {
+            range.from = format!("{}\0", last.key);
+        }
+        rows.append(&mut page.rows);
+        if !more {
+            return Ok(rows);
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/daemon/handler.rs
@@ -0,0 +1,146 @@
+//! Handlers of the callers' and the load balancer's ports.
+
+use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use filbertsail_http::{
+    Body,
+    body::read,
+    server::{Handler, Limits},
+};
+use filbertsail_ports::store::Store;
+use filbertsail_telemetry::event::Line;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{
+    batch::calls::Calls,
+    config::{Config, Kind},
+    dialect::{Call, Dialect},
+    forward::{self, Job, attempt::strip, reply},
+    shared::Shared,
+};
+
+/// Time after which a caller should come back while the configuration is not known yet.
+const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Handler of the callers' port.
+#[derive(Clone, Debug)]
+pub(super) struct Front<D, S> {
+    calls: Calls<S>,
+    dialect: PhantomData<D>,
+}
+
+impl<D: Dialect, S: Store> Front<D, S> {
+    pub(super) fn new(calls: Calls<S>) -> Self {
+        Self { calls, dialect: PhantomData }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let shared = &self.calls.shared;
+        let arrived = shared.now();
+        let Some(config) = shared.config() else {
+            Line::new("request_refused").with("reason", "no configuration yet").info();
+            return reply::refuse("no configuration yet", START_RETRY_AFTER);
+        };
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        let host = host(&head.headers, &head.uri);
+        let call = D::call(&head.method, path, head.uri.query(), &head.headers);
+        if call != Call::Route && !config.has_host(&host) {
+            return not_found(&host, path, &config);
+        }
+        match call {
+            Call::Results { batch, after, wait } => {
+                return self.calls.results::<D>(&batch, after, wait).await;
+            }
+            Call::Item { batch, item } => return self.calls.item(&batch, &item).await,
+            Call::End { batch } => return self.calls.end(&batch).await,
+            Call::Unknown => return reply::json(StatusCode::BAD_REQUEST, "malformed call"),
+            Call::Route => {}
+        }
+        let Some(route) = config.route(&host, path).cloned() else {
+            return not_found(&host, path, &config);
+        };
+        let caller = D::caller(&head.headers);
+        let body = match self.body(body, &config).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        if route.kind == Kind::Batch {
+            let batch = caller.id.as_ref().and_then(|id| id.to_str().ok());
+            let (Some(batch), &Method::POST) = (batch, &head.method) else {
+                return reply::json(StatusCode::BAD_REQUEST, "a batch is posted with an identifier");
+            };
+            return self.calls.submit::<D>(batch, &host, &body).await;
+        }
+        let mut headers = head.headers;
+        strip(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let job = Job { method: head.method, path, headers, body, caller, arrived };
+        forward::forward::<D>(shared, &route, job).await
+    }
+
+    async fn body(&self, body: Incoming, config: &Config) -> Result<Bytes, Response<Body>> {
+        let limits = Limits { body_bytes: config.limits.body_bytes, ..super::LIMITS };
+        read::read(body, &limits).await.map_err(|error| {
+            Line::new("body_refused").with("reason", &error).info();
+            let mut response = reply::json(error.status(), &error.to_string());
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            response
+        })
+    }
+}
+
+impl<D: Dialect, S: Store> Handler for Front<D, S> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let mut response = self.answer(request).await;
+        if *self.calls.shared.stopping.borrow() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+fn not_found(host: &str, path: &str, config: &Arc<Config>) -> Response<Body> {
+    Line::new("route_not_found")
+        .with("host", host)
+        .with("path", path)
+        .with("config", config.version)
+        .info();
+    reply::json(StatusCode::NOT_FOUND, "no such route")
+}
+
+/// Host without a port, in lower case.
+fn host(headers: &HeaderMap, uri: &http::Uri) -> String {
+    let stated = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = uri.host().or(stated).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_ascii_lowercase()
+}
+
+/// Handler of the load balancer's port.
+#[derive(Clone, Debug)]
+pub(super) struct Readiness<D> {
+    shared: Shared,
+    dialect: PhantomData<D>,
+}
+
+impl<D: Dialect> Readiness<D> {
+    pub(super) fn new(shared: Shared) -> Self {
+        Self { shared, dialect: PhantomData }
+    }
+}
+
+impl<D: Dialect> Handler for Readiness<D> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        if !D::is_readiness(request.uri().path()) {
+            return reply::status(StatusCode::NOT_FOUND);
+        }
+        reply::status(match self.shared.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/daemon/mod.rs
@@ -0,0 +1,141 @@
+//! Start and graceful stop of the daemon.
+
+mod handler;
+
+use std::{net::SocketAddr, time::Duration};
+
+use eyre::WrapErr;
+use filbertsail_http::server::{self, Limits};
+use filbertsail_ports::store::Store;
+use filbertsail_telemetry::event::Line;
+use handler::{Front, Readiness};
+use tokio::{
+    net::TcpListener,
+    sync::oneshot,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    batch::{board::Boards, calls::Calls, task},
+    dialect::Dialect,
+    follow,
+    shared::{Identity, Shared, Times},
+    weights,
+};
+
+/// Time between "not ready" and the end of accepting: the load balancer asks once a second and
+/// needs two misses.
+const DRAIN: Duration = Duration::from_millis(2_600);
+/// Part of the stop limit that is kept for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Limits of the callers' port that hold before and beside those of the configuration.
+const LIMITS: Limits = Limits {
+    header_timeout: Duration::from_secs(5),
+    header_bytes: 32 * 1024,
+    body_bytes: 64 * 1024 * 1024,
+    idle_timeout: Duration::from_secs(60),
+    stall_timeout: Duration::from_secs(30),
+    min_bytes_per_s: 1_024,
+    connections: 4_096,
+};
+
+/// Settings of a daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Identity.
+    pub identity: Identity,
+    /// Times of the installation.
+    pub times: Times,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the load balancer asks whether the daemon is ready.
+    pub readiness: SocketAddr,
+}
+
+/// Running daemon.
+#[derive(Debug)]
+pub struct Handle {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the load balancer.
+    pub readiness: SocketAddr,
+    /// Shared state.
+    pub shared: Shared,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Handle {
+    /// Waits for the end of a graceful stop.
+    ///
+    /// # Errors
+    /// Fails if a task panicked.
+    pub async fn join(self) -> eyre::Result<()> {
+        self.task.await.wrap_err("daemon task")
+    }
+}
+
+/// Starts a daemon; it ends gracefully after `stop`.
+///
+/// # Errors
+/// Fails if a port cannot be bound.
+pub async fn start<D: Dialect, S: Store>(
+    settings: Settings,
+    store: S,
+    stop: CancellationToken,
+) -> eyre::Result<Handle> {
+    let shared = Shared::new(settings.identity, settings.times);
+    let bind = |address: SocketAddr| async move {
+        TcpListener::bind(address).await.wrap_err_with(|| format!("binding {address}"))
+    };
+    let (front, readiness) = (bind(settings.callers).await?, bind(settings.readiness).await?);
+    let (callers, ready) = (front.local_addr()?, readiness.local_addr()?);
+    Line::new("started")
+        .with("vm", &shared.identity.vm)
+        .with("zone", &shared.identity.zone)
+        .with("incarnation", format!("{:016x}", shared.identity.incarnation))
+        .with("callers", callers)
+        .with("readiness", ready)
+        .info();
+    tokio::spawn(follow::operator::<D, S>(shared.clone(), store.clone()));
+    tokio::spawn(follow::workers::<D, S>(shared.clone(), store.clone()));
+    let boards = Boards::default();
+    let task = task::start::<D, S>(shared.clone(), store.clone(), boards.clone());
+    let weights = tokio::spawn(weights::run::<D, S>(shared.clone(), store.clone()));
+    let calls = Calls { shared: shared.clone(), store, boards, task: task.clone() };
+    let closed = CancellationToken::new();
+    let front = tokio::spawn(server::serve(
+        front,
+        LIMITS,
+        Front::<D, S>::new(calls),
+        closed.clone(),
+    ));
+    let ready_handler = Readiness::<D>::new(shared.clone());
+    let ready_task =
+        tokio::spawn(server::serve(readiness, LIMITS, ready_handler, CancellationToken::new()));
+    let state = shared.clone();
+    let run = async move {
+        stop.cancelled().await;
+        let start = state.now();
+        Line::new("stopping").with("vm", &state.identity.vm).info();
+        state.stopping.send_replace(true);
+        let limit = state.times.stop_limit.saturating_sub(STOP_MARGIN);
+        let (done, handed_over) = oneshot::channel();
+        // The task lives as long as the process.
+        let _ = task.send(task::Command::HandOver(done));
+        let rest = async {
+            // Both ends leave nothing to do here.
+            let _ = tokio::join!(handed_over, weights, sleep(DRAIN));
+            closed.cancel();
+            let _ = front.await;
+        };
+        let finished = timeout(limit, rest).await.is_ok();
+        ready_task.abort();
+        Line::new("stopped")
+            .with("vm", &state.identity.vm)
+            .with("finished", finished)
+            .with("took_ms", state.now().since(start).as_millis())
+            .info();
+    };
+    Ok(Handle { callers, readiness: ready, shared, task: tokio::spawn(run) })
+}
--- /dev/null
+++ b/components/entry/src/follow/workers.rs
@@ -0,0 +1,134 @@
+//! Workers, as they register themselves.
+
+use std::time::Duration;
+
+use filbertsail_collections::HashSet;
+use filbertsail_ports::store::{Row, Store};
+use filbertsail_telemetry::event::Line;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{News, Table, follow};
+use crate::{
+    dialect::Dialect,
+    fleet::{Change, LAPSE_GRACE},
+    shared::Shared,
+};
+
+/// Pause after a change, so that a wave of changes shares a few calls. It adds to the time in which
+/// a leaving worker must be noticed, which is seconds.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks for entries that lapsed and for idle connections past their time.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Follows the register for good.
+pub async fn workers<D: Dialect, S: Store>(shared: Shared, store: S) {
+    let table = Table {
+        name: D::WORKER_TABLE,
+        parts: vec![String::new()],
+        watches_link: false,
+        pause: PAUSE,
+    };
+    let target = shared.clone();
+    let feed = follow(shared.clone(), store, table, move |news| apply::<D>(&target, news));
+    tokio::join!(feed, expire(shared));
+}
+
+fn apply<D: Dialect>(shared: &Shared, news: News) {
+    match news {
+        News::Snapshot(rows) => {
+            let present: HashSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+            let gone: Vec<String> = {
+                let fleet = shared.fleet();
+                fleet.ids().filter(|id| !present.contains(id)).map(str::to_owned).collect()
+            };
+            for id in gone {
+                vanish(shared, &id);
+            }
+            rows.iter().for_each(|row| put::<D>(shared, row));
+        }
+        News::Changes(rows) => {
+            for row in &rows {
+                match row.value {
+                    Some(_) => put::<D>(shared, row),
+                    None => vanish(shared, &row.key),
+                }
+            }
+        }
+    }
+    shared.fleet_changed.send_modify(|count| *count += 1);
+}
+
+fn put<D: Dialect>(shared: &Shared, row: &Row) {
+    let Some(value) = &row.value else { return };
+    let entry = match D::worker(&row.key, value) {
+        Ok(entry) => entry,
+        Err(error) => {
+            Line::new("worker_row_malformed")
+                .with("worker", &row.key)
+                .with("row_version", row.version)
+                .with("reason", error)
+                .warn();
+            // What it said before no longer holds either.
+            return vanish(shared, &row.key);
+        }
+    };
+    let (id, service, address) = (entry.id.clone(), entry.service.clone(), entry.address);
+    let change = shared.fleet().put(entry);
+    if matches!(change, Change::Added | Change::Restarted) {
+        shared.pool.drop_address(address);
+    }
+    note(change, &id, &service, row.version);
+}
+
+fn vanish(shared: &Shared, id: &str) {
+    let now = shared.now();
+    let grace = {
+        let link = shared.link.borrow();
+        // Twice the grace, since the two feeds notice the return at different times.
+        !link.is_steady(LAPSE_GRACE * 2, now)
+    };
+    let address = {
+        let fleet = shared.fleet();
+        fleet.key(id).and_then(|key| fleet.get(key)).map(|worker| worker.entry.address)
+    };
+    let change = shared.fleet().vanish(id, grace, now);
+    if let (Change::Removed, Some(address)) = (change, address) {
+        shared.pool.drop_address(address);
+    }
+    note(change, id, "", 0);
+}
+
+fn note(change: Change, id: &str, service: &str, row_version: u64) {
+    let name = match change {
+        Change::Added => "worker_added",
+        Change::Restarted => "worker_restarted",
+        Change::Draining => "worker_draining",
+        Change::Removed => "worker_removed",
+        Change::Lapsed => "worker_lapsed",
+        Change::Unchanged => return,
+    };
+    Line::new(name)
+        .with("worker", id)
+        .with("service", service)
+        .with("row_version", row_version)
+        .info();
+}
+
+async fn expire(shared: Shared) {
+    let mut ticks = interval(EXPIRE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = shared.now();
+        shared.pool.expire(now);
+        // While the store is away nothing tells whether a worker lives.
+        if shared.link.borrow().lost.is_some() {
+            continue;
+        }
+        let gone = shared.fleet().expire(now);
+        for id in gone {
+            note(Change::Removed, &id, "", 0);
+            shared.fleet_changed.send_modify(|count| *count += 1);
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/shared.rs
@@ -0,0 +1,138 @@
+//! What the tasks of a daemon share.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_collections::HashMap;
+use tokio::sync::watch;
+
+use crate::{channel::Pool, config::Config, fleet::Fleet};
+
+/// Identity of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// VM name.
+    pub vm: String,
+    /// Number drawn at the start of the process.
+    pub incarnation: u64,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// Times that the installation guarantees or asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// Time after which the process is killed when it was asked to stop.
+    pub stop_limit: Duration,
+    /// Time for which the results of a batch stay readable after it was accepted.
+    pub retention: Duration,
+    /// Least time between orders of two holders to one worker.
+    pub order_gap: Duration,
+}
+
+/// State of the connection to the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// When the store was lost; absent while it answers.
+    pub lost: Option<Instant>,
+    /// When it answered again after it was last lost, or for the first time.
+    pub regained: Option<Instant>,
+    /// Steady clock of the store in milliseconds, and when it was read.
+    pub clock: Option<(u64, Instant)>,
+}
+
+impl Link {
+    /// Steady clock of the store at `now`, in milliseconds.
+    #[must_use]
+    pub fn store_ms(&self, now: Instant) -> u64 {
+        self.clock.map_or(0, |(ms, at)| ms + millis(now.since(at)))
+    }
+
+    /// Point in time of this VM at which the store's clock stood at `ms`.
+    #[must_use]
+    pub fn local(&self, ms: u64, now: Instant) -> Instant {
+        now.before(Duration::from_millis(self.store_ms(now).saturating_sub(ms)))
+    }
+
+    /// Whether the store has answered without interruption for `time`.
+    #[must_use]
+    pub fn is_steady(&self, time: Duration, now: Instant) -> bool {
+        self.lost.is_none() && self.regained.is_some_and(|at| now.since(at) >= time)
+    }
+}
+
+/// Whole milliseconds of a duration.
+#[must_use]
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// State shared by the tasks of a daemon, cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Identity.
+    pub identity: Arc<Identity>,
+    /// Times of the installation.
+    pub times: Times,
+    /// Connections to workers.
+    pub pool: Pool,
+    /// Configuration in force.
+    pub config: Arc<watch::Sender<Option<Arc<Config>>>>,
+    /// Newest weight version by model.
+    pub versions: Arc<watch::Sender<HashMap<String, u64>>>,
+    /// Connection to the store.
+    pub link: Arc<watch::Sender<Link>>,
+    /// Whether the process was asked to stop.
+    pub stopping: Arc<watch::Sender<bool>>,
+    /// Counts changes of the workers.
+    pub fleet_changed: Arc<watch::Sender<u64>>,
+    fleet: Arc<Mutex<Fleet>>,
+}
+
+impl Shared {
+    /// State of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(identity: Identity, times: Times) -> Self {
+        Self {
+            identity: Arc::new(identity),
+            times,
+            pool: Pool::default(),
+            config: Arc::new(watch::channel(None).0),
+            versions: Arc::new(watch::channel(HashMap::default()).0),
+            link: Arc::new(watch::channel(Link::default()).0),
+            stopping: Arc::new(watch::channel(false).0),
+            fleet_changed: Arc::new(watch::channel(0).0),
+            fleet: Arc::default(),
+        }
+    }
+
+    /// Present time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        Boot.now()
+    }
+
+    /// Workers; held only for the length of a decision, never across an await.
+    #[must_use]
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether callers may be sent here: the configuration and the workers are known, and the
+    /// process was not asked to stop. An outage of the store later on changes nothing.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.config.borrow().is_some()
+            && self.link.borrow().regained.is_some()
+            && !*self.stopping.borrow()
+    }
+}
--- /dev/null
+++ b/components/entry/src/weights/lease.rs
@@ -0,0 +1,164 @@
+//! The lease on the orders of a service, kept as a row of the store.
+
+use std::time::Duration;
+
+use filbertsail_api::table;
+use filbertsail_cluster::lease::{
+    Holding, Times,
+    machine::{Action, Machine},
+};
+use filbertsail_ports::store::{Fault, Key, Range, Store, Transaction};
+use filbertsail_telemetry::event::Line;
+use serde::{Deserialize, Serialize};
+
+use crate::{batch::rows, shared::Shared};
+
+/// Table of leases.
+const TABLE: &str = "leases";
+/// Time after which a silent holder may be replaced. A holder renews three times in it.
+const TTL: Duration = Duration::from_secs(2);
+/// Time over which candidates spread.
+const SPREAD: Duration = Duration::from_millis(600);
+
+/// Value of a row, with the token of its writer.
+#[derive(Debug, Serialize, Deserialize)]
+struct Value {
+    token: String,
+    value: serde_json::Value,
+}
+
+/// Wish for the lease on one scope.
+pub struct Lease<S> {
+    shared: Shared,
+    store: S,
+    machine: Machine,
+    scope: String,
+    attempts: u64,
+    held: Option<u64>,
+}
+
+impl<S: Store> Lease<S> {
+    /// Contends for `scope`.
+    pub fn new(shared: Shared, store: S, scope: String) -> Self {
+        let times = Times { ttl: TTL, order_life: shared.times.order_gap };
+        let machine =
+            Machine::new(&scope, &shared.identity.vm, shared.identity.incarnation, times);
+        Self { shared, store, machine, scope, attempts: 0, held: None }
+    }
+
+    /// Does what is due and returns the lease if it is held.
+    pub async fn step(&mut self) -> Option<Holding> {
+        let now = self.shared.now();
+        let token = self.token();
+        match self.machine.next(now, self.delay(), token) {
+            Action::Wait(_) => {}
+            Action::Look => self.look().await,
+            Action::Write(transaction) => self.write(transaction).await,
+        }
+        let holding = self.machine.holding(self.shared.now());
+        self.note(holding);
+        holding
+    }
+
+    /// Gives the lease up.
+    pub async fn release(&mut self) {
+        let token = self.token();
+        if let Some((epoch, transaction)) = self.machine.release(token) {
+            let result = self.store.transact(convert(&transaction)).await;
+            Line::new("lease_released")
+                .with("scope", &self.scope)
+                .with("epoch", epoch)
+                .with("stored", result.is_ok())
+                .info();
+        }
+    }
+
+    fn token(&mut self) -> String {
+        self.attempts += 1;
+        format!("{:x}-{}", self.shared.identity.incarnation, self.attempts)
+    }
+
+    fn delay(&self) -> Duration {
+        let draw = rows::hash(&format!("{}/{}", self.scope, self.shared.identity.vm)) >> 32;
+        SPREAD.mul_f64(draw as f64 / f64::from(u32::MAX))
+    }
+
+    fn note(&mut self, holding: Option<Holding>) {
+        let epoch = holding.map(|holding| holding.epoch);
+        if epoch == self.held {
+            return;
+        }
+        match epoch {
+            Some(epoch) => {
+                Line::new("lease_held").with("scope", &self.scope).with("epoch", epoch).info();
+            }
+            None => Line::new("lease_lost").with("scope", &self.scope).warn(),
+        }
+        self.held = epoch;
+    }
+
+    async fn look(&mut self) {
+        let key = filbertsail_cluster::lease::key(&self.scope);
+        let to = format!("{key}\0");
+        let range = Range { table: TABLE, part: String::new(), from: key, to, limit: 1 };
+        let result = self.store.range(range).await;
+        let now = self.shared.now();
+        match result {
+            Ok(page) => {
+                let row = page.rows.into_iter().next();
+                let row = row.and_then(|row| {
+                    let value: Value = serde_json::from_slice(row.value.as_deref()?).ok()?;
+                    Some(table::Row {
+                        key: row.key,
+                        revision: row.version,
+                        token: value.token,
+                        value: value.value,
+                    })
+                });
+                self.machine.read(now, row.as_ref());
+            }
+            Err(_) => self.machine.unread(now),
+        }
+    }
+
+    async fn write(&mut self, transaction: table::Transaction) {
+        let result = self.store.transact(convert(&transaction)).await;
+        let now = self.shared.now();
+        match result {
+            Ok(commit) => self.machine.written(now, commit.version),
+            Err(Fault::Conflict(_)) => self.machine.conflict(now),
+            Err(fault) => {
+                Line::new("lease_write_failed")
+                    .with("scope", &self.scope)
+                    .with("reason", fault)
+                    .info();
+                self.machine.unknown(now);
+            }
+        }
+    }
+}
+
+fn convert(transaction: &table::Transaction) -> Transaction {
+    let key = |key: &str| Key { table: TABLE, part: String::new(), key: key.to_owned() };
+    let checks = transaction
+        .checks
+        .iter()
+        .map(|check| {
+            let version = match &check.expect {
+                table::Expect::Revision { revision } => *revision,
+                _ => 0,
+            };
+            (key(&check.key), version)
+        })
+        .collect();
+    let writes = transaction
+        .writes
+        .iter()
+        .filter_map(|write| {
+            let value = Value { token: transaction.token.clone(), value: write.value.clone()? };
+            // A value of plain fields always has a JSON form.
+            Some((key(&write.key), serde_json::to_vec(&value).ok()?.into()))
+        })
+        .collect();
+    Transaction { checks, writes, deletes: Vec::new() }
+}
--- /dev/null
+++ b/components/entry/src/weights/task.rs
@@ -0,0 +1,241 @@
+//! Tasks that hold the leases and call the workers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use filbertsail_cluster::lease::Holding;
+use filbertsail_collections::HashMap;
+use filbertsail_http::Body;
+use filbertsail_ports::store::Store;
+use filbertsail_telemetry::event::Line;
+use http::Request;
+use http_body_util::BodyExt;
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use super::{Action, Asked, Director, Reply, View, lease::Lease};
+use crate::{
+    config::Kind,
+    dialect::{Dialect, Order, Swap},
+    shared::Shared,
+};
+
+/// Pause between two rounds while something is under way.
+const STEP: Duration = Duration::from_millis(100);
+/// Time for a worker to answer a call that needs no slot.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two looks for new services.
+const SERVICE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs a task for each model of each service until the daemon stops.
+pub async fn run<D: Dialect, S: Store>(shared: Shared, store: S) {
+    let mut started: HashMap<(String, String), ()> = HashMap::default();
+    let mut config = shared.config.subscribe();
+    let mut tasks = Vec::new();
+    let mut stopping = shared.stopping.subscribe();
+    while !*stopping.borrow() {
+        for key in models(&shared) {
+            if started.insert(key.clone(), ()).is_none() {
+                let (service, model) = key;
+                let task = Task::<D, S>::new(shared.clone(), store.clone(), service, model);
+                tasks.push(tokio::spawn(task.run()));
+            }
+        }
+        tokio::select! {
+            _ = config.changed() => {}
+            _ = stopping.wait_for(|stopping| *stopping) => {}
+        }
+        sleep(SERVICE_INTERVAL.min(STEP)).await;
+    }
+    for task in tasks {
+        // A panic in one task leaves the others as they are.
+        let _ = task.await;
+    }
+}
+
+fn models(shared: &Shared) -> Vec<(String, String)> {
+    let Some(config) = shared.config() else { return Vec::new() };
+    let mut models = Vec::new();
+    for service in config.services.values() {
+        for model in service.engine.iter().flat_map(|engine| &engine.models) {
+            models.push((service.name.clone(), model.clone()));
+        }
+    }
+    models
+}
+
+struct Task<D, S> {
+    shared: Shared,
+    lease: Lease<S>,
+    service: String,
+    model: String,
+    director: Director,
+    replies: (mpsc::UnboundedSender<Asked>, mpsc::UnboundedReceiver<Asked>),
+    dialect: std::marker::PhantomData<D>,
+}
+
+impl<D: Dialect, S: Store> Task<D, S> {
+    fn new(shared: Shared, store: S, service: String, model: String) -> Self {
+        let lease = Lease::new(shared.clone(), store, format!("weights/{service}/{model}"));
+        Self {
+            shared,
+            lease,
+            service,
+            model,
+            director: Director::default(),
+            replies: mpsc::unbounded_channel(),
+            dialect: std::marker::PhantomData,
+        }
+    }
+
+    async fn run(mut self) {
+        let mut stopping = self.shared.stopping.subscribe();
+        let mut was_held = false;
+        while !*stopping.borrow() {
+            let holding = self.lease.step().await;
+            while let Ok(asked) = self.replies.1.try_recv() {
+                self.note(&asked);
+            }
+            let now = self.shared.now();
+            let may_order = holding.filter(|holding| holding.may_order(now, false));
+            if may_order.is_none() && was_held {
+                // What another holder orders meanwhile is not known.
+                self.director = Director::default();
+            }
+            was_held = may_order.is_some();
+            if let Some(holding) = may_order {
+                self.direct(holding);
+            }
+            tokio::select! {
+                () = sleep(STEP) => {}
+                Some(asked) = self.replies.1.recv() => self.note(&asked),
+                _ = stopping.wait_for(|stopping| *stopping) => {}
+            }
+        }
+        self.lease.release().await;
+    }
+
+    fn note(&mut self, asked: &Asked) {
+        let now = self.shared.now();
+        if let (Action::Report(worker), Reply::Report(report)) = (asked.action, &asked.reply) {
+            let mut fleet = self.shared.fleet();
+            for (model, version) in &report.models {
+                fleet.versioned(worker, model, *version);
+            }
+        }
+        self.director.note(asked, &self.model, now);
+    }
+
+    fn direct(&mut self, holding: Holding) {
+        let now = self.shared.now();
+        let target = self.shared.versions.borrow().get(&self.model).copied();
+        let Some(target) = target else { return };
+        let views: Vec<View> = {
+            let fleet = self.shared.fleet();
+            fleet
+                .of(&self.service)
+                .filter(|(_, worker)| !worker.entry.draining)
+                .filter_map(|(key, worker)| {
+                    let version = worker.version(&self.model)?;
+                    Some(View { key, id: worker.entry.id.clone(), version })
+                })
+                .collect()
+        };
+        for action in self.director.plan(&views, target, now) {
+            self.call(action, holding);
+        }
+    }
+
+    fn call(&self, action: Action, holding: Holding) {
+        let worker = match action {
+            Action::Report(worker) | Action::Order { worker, .. } => worker,
+        };
+        let entry = self.shared.fleet().get(worker).map(|worker| worker.entry.clone());
+        let Some(entry) = entry else { return };
+        let (request, line) = match action {
+            Action::Report(_) => (D::report(entry.address, &entry.id), None),
+            Action::Order { version, expected, .. } => {
+                let order = Order {
+                    instance: &entry.id,
+                    model: &self.model,
+                    version,
+                    swap: self.swap(),
+                    holder: &self.shared.identity.vm,
+                    epoch: holding.epoch,
+                    expected: Some(expected),
+                };
+                let line = Line::new("order_sent")
+                    .with("worker", &entry.id)
+                    .with("model", &self.model)
+                    .with("version", version)
+                    .with("expected", expected)
+                    .with("epoch", holding.epoch);
+                (D::order(entry.address, &order), Some(line))
+            }
+        };
+        let (shared, replies) = (self.shared.clone(), self.replies.0.clone());
+        tokio::spawn(async move {
+            // The lease may have ended between the decision and this point.
+            let may_order = holding.may_order(shared.now(), false);
+            let reply = match &line {
+                Some(_) if !may_order => Reply::Refused,
+                _ => call::<D>(&shared, entry.address, request, line.is_some()).await,
+            };
+            if let Some(line) = line {
+                line.with("reply", format!("{reply:?}").to_lowercase()).info();
+            }
+            // The task may have stopped meanwhile.
+            let _ = replies.send(Asked { action, reply });
+        });
+    }
+
+    /// Runs finish first where a route wants all events of a result from one version.
+    fn swap(&self) -> Swap {
+        let config = self.shared.config();
+        let single = config.is_some_and(|config| {
+            config.routes.iter().any(|route| {
+                route.kind == Kind::Batch
+                    && route.single_version
+                    && route.targets.iter().any(|target| target.service == self.service)
+            })
+        });
+        if single { Swap::Wait } else { Swap::Keep }
+    }
+}
+
+async fn call<D: Dialect>(
+    shared: &Shared,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    is_order: bool,
+) -> Reply {
+    let request = request.map(Body::full);
+    let exchange = async {
+        let now = shared.now();
+        let (response, channel) =
+            shared.pool.send(address, request, !is_order, now).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let keep_alive = D::answer(&head.headers).keep_alive;
+        shared.pool.keep(channel, keep_alive, shared.now());
+        Some((head.status.as_u16(), body))
+    };
+    let Ok(Some((status, body))) = timeout(CALL_TIMEOUT, exchange).await else {
+        return Reply::Silent;
+    };
+    match (status, is_order) {
+        (200, false) => match D::decode_report(&body) {
+            Ok(report) => Reply::Report(report),
+            Err(error) => {
+                Line::new("report_malformed").with("address", address).with("reason", error).warn();
+                Reply::Refused
+            }
+        },
+        (202, true) => Reply::Accepted,
+        (200, true) => Reply::Holds,
+        (409, true) => Reply::Differs,
+        _ => Reply::Refused,
+    }
+}
--- a/components/gateway/examples/latency.rs
+++ b/components/gateway/examples/latency.rs
@@ -24,7 +24,7 @@
     Body,
     server::{Handler, Limits, serve},
 };
-use filbertsail_platform::table::{Table as _, http as http_table};
+use filbertsail_ports::table::{Table as _, http as http_table};
 use filbertsail_standin::{object, server::Place, table, vm};
 use hdrhistogram::Histogram;
 use http::{Request, Response, header};
--- a/components/gateway/src/callers/keyed.rs
+++ b/components/gateway/src/callers/keyed.rs
@@ -6,7 +6,7 @@
 use filbertsail_claims::{Answer, Begin, Key, row::digest};
 use filbertsail_errors::{VERDICT_HEADER, Verdict};
 use filbertsail_http::Body;
-use filbertsail_platform::object::Store as _;
+use filbertsail_ports::object::Store as _;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use tokio::sync::oneshot;
 
--- a/components/gateway/src/daemon/start.rs
+++ b/components/gateway/src/daemon/start.rs
@@ -13,7 +13,7 @@
 use filbertsail_cluster::{agent, subset};
 use filbertsail_config::settings::Settings;
 use filbertsail_http::{server, tls, token};
-use filbertsail_platform::{budget, object, table, vm};
+use filbertsail_ports::{budget, object, table, vm};
 use filbertsail_rounds::reach;
 use filbertsail_routing::policy::Policy;
 use filbertsail_telemetry::metrics::Registry;
--- a/components/gateway/src/fleet/mod.rs
+++ b/components/gateway/src/fleet/mod.rs
@@ -12,7 +12,7 @@
     table::Scan,
 };
 use filbertsail_cluster::{config::apply::Error as NotApplied, member::State};
-use filbertsail_platform::table::{Error, Table as _};
+use filbertsail_ports::table::{Error, Table as _};
 use filbertsail_wire::frame;
 use serde_json::Value;
 
--- a/components/gateway/src/marks/mod.rs
+++ b/components/gateway/src/marks/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use filbertsail_api::table::{Query, Scan, Transaction, Write};
-use filbertsail_platform::table::{Error, Table as _};
+use filbertsail_ports::table::{Error, Table as _};
 use rand::RngExt;
 use serde_json::json;
 use tokio::time;
--- a/components/gateway/src/monitor/mod.rs
+++ b/components/gateway/src/monitor/mod.rs
@@ -5,7 +5,7 @@
 use filbertsail_api::engine::{CacheEvents, Change, Load};
 use filbertsail_clock::{self as clock, Source as _};
 use filbertsail_config::inventory::Kind;
-use filbertsail_platform::vm;
+use filbertsail_ports::vm;
 use filbertsail_routing::{prefix, state::Report};
 use http::{HeaderMap, Method, StatusCode};
 use serde::de::DeserializeOwned;
--- a/components/gateway/src/ports/mod.rs
+++ b/components/gateway/src/ports/mod.rs
@@ -5,7 +5,7 @@
 use filbertsail_claims as claims;
 use filbertsail_clock::Boot;
 use filbertsail_cluster::agent;
-use filbertsail_platform::{object, table};
+use filbertsail_ports::{object, table};
 use filbertsail_rounds as rounds;
 use filbertsail_wire::frame::Role;
 
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use filbertsail_config::{inventory::Inventory, settings::Settings};
 use filbertsail_gateway::daemon::{self, Handle};
 use filbertsail_http::{Body, client::Client};
-use filbertsail_platform::table::{Table as _, http as http_table};
+use filbertsail_ports::table::{Table as _, http as http_table};
 use filbertsail_standin::{object, server::Place, table, vm};
 use http::{Method, Request, Response};
 use tempfile::TempDir;
--- a/components/platform/src/lib.rs
+++ b/components/ports/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod fake;
 pub mod object;
+pub mod store;
 pub mod table;
 pub mod vm;
 pub mod weight;
--- a/components/platform/tests/client_model.rs
+++ b/components/ports/tests/client_model.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertsail_api::table::{Check, Expect, Query, Transaction, Write};
-use filbertsail_platform::{
+use filbertsail_ports::{
     budget::{Budget, Rates},
     fake::{Fault, Table as Fake},
     table::{Error, Table, resolve::Client},
--- a/components/platform/tests/http.rs
+++ b/components/ports/tests/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use filbertsail_api::table::{Query, Transaction};
 use filbertsail_http::{Body, server};
-use filbertsail_platform::{
+use filbertsail_ports::{
     object::{self, Store as _},
     table::{self, Table as _},
     vm::{self, List as _},
--- a/components/rounds/src/handler/fetch.rs
+++ b/components/rounds/src/handler/fetch.rs
@@ -7,7 +7,7 @@
     trainer::{Batch, Progress},
 };
 use filbertsail_http::{Body, server};
-use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_ports::{object::Store, table::Table};
 use filbertsail_telemetry::event::Line;
 use filbertsail_wire::{Frame, frame};
 use http::{Response, StatusCode};
--- a/components/rounds/src/handler/mod.rs
+++ b/components/rounds/src/handler/mod.rs
@@ -13,7 +13,7 @@
     Body,
     token::{Role, Table as Tokens},
 };
-use filbertsail_platform::{object::Store, table::Table};
+use filbertsail_ports::{object::Store, table::Table};
 use filbertsail_wire::link::auth::Key;
 use http::{Method, Request, Response, StatusCode};
 use percent_encoding::percent_decode_str;
--- a/components/rounds/src/handler/post.rs
+++ b/components/rounds/src/handler/post.rs
@@ -7,7 +7,7 @@
 };
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
-use filbertsail_platform::{
+use filbertsail_ports::{
     object::Store,
     table::{Error, Table},
 };
--- a/components/rounds/src/manifest/mod.rs
+++ b/components/rounds/src/manifest/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use filbertsail_api::trainer::{Batch, Group};
-use filbertsail_platform::object::{self, Store};
+use filbertsail_ports::object::{self, Store};
 use futures_util::{StreamExt, TryStreamExt, stream};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/components/rounds/src/reach/mod.rs
+++ b/components/rounds/src/reach/mod.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use filbertsail_api::table::Query;
-use filbertsail_platform::table::Table;
+use filbertsail_ports::table::Table;
 use filbertsail_wire::{
     Frame,
     frame::{Done, Fetch, Hello, Notice, Offer},
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod event;
 pub mod logs;
 pub mod metrics;
+pub mod sink;
--- a/components/telemetry/src/logs/mod.rs
+++ b/components/telemetry/src/logs/mod.rs
@@ -10,6 +10,8 @@
 use log::LevelFilter;
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
+use crate::sink::Sink;
+
 /// Levels that [`start`] accepts.
 pub const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 /// Libraries whose lines about each connection would hide the project's own events.
@@ -25,6 +27,17 @@
     WriteLogger::init(filter, config(), writer(file)?).wrap_err("logging was started before")
 }
 
+/// Starts logging to standard output without ever blocking on it; see [`crate::sink`].
+///
+/// # Errors
+/// Fails if the level is unknown, the writing thread cannot be started, or the process logs already.
+pub fn start_stdout(level: &str) -> Result<Sink> {
+    let filter = filter(level)?;
+    let sink = Sink::start(io::stdout()).wrap_err("starting the log writer")?;
+    WriteLogger::init(filter, config(), sink.clone()).wrap_err("logging was started before")?;
+    Ok(sink)
+}
+
 /// Parses a log level.
 ///
 /// # Errors
