--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use filbertsail_cluster::lease::Holding;
-use filbertsail_collections::HashMap;
+use filbertsail_collections::HashSet;
 use filbertsail_http::Body;
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::event::Line;
@@ -17,7 +17,7 @@
 
 use super::{Action, Asked, Director, Reply, View, lease::Lease};
 use crate::{
-    config::Kind,
+    config::{Kind, Service},
     dialect::{Dialect, Order, Swap},
     shared::Shared,
 };
@@ -31,15 +31,14 @@
 
 /// Runs a task for each model of each service until the daemon stops.
 pub async fn run<D: Dialect, S: Store>(shared: Shared, store: S) {
-    let mut started: HashMap<(String, String), ()> = HashMap::default();
+    let mut started: HashSet<String> = HashSet::default();
     let mut config = shared.config.subscribe();
     let mut tasks = Vec::new();
     let mut stopping = shared.stopping.subscribe();
     while !*stopping.borrow() {
-        for key in models(&shared) {
-            if started.insert(key.clone(), ()).is_none() {
-                let (service, model) = key;
-                let task = Task::<D, S>::new(shared.clone(), store.clone(), service, model);
+        for service in services(&shared) {
+            if started.insert(service.clone()) {
+                let task = Task::<D, S>::new(shared.clone(), store.clone(), service);
                 tasks.push(tokio::spawn(task.run()));
             }
         }
@@ -55,35 +54,31 @@
     }
 }
 
-fn models(shared: &Shared) -> Vec<(String, String)> {
+/// Services whose workers load weights.
+fn services(shared: &Shared) -> Vec<String> {
     let Some(config) = shared.config() else { return Vec::new() };
-    let mut models = Vec::new();
-    for service in config.services.values() {
-        for model in service.engine.iter().flat_map(|engine| &engine.models) {
-            models.push((service.name.clone(), model.clone()));
-        }
-    }
-    models
+    let trains = |service: &&Service| {
+        service.engine.as_ref().is_some_and(|engine| !engine.models.is_empty())
+    };
+    config.services.values().filter(trains).map(|service| service.name.clone()).collect()
 }
 
 struct Task<D, S> {
     shared: Shared,
     lease: Lease<S>,
     service: String,
-    model: String,
     director: Director,
     replies: (mpsc::UnboundedSender<Asked>, mpsc::UnboundedReceiver<Asked>),
     dialect: std::marker::PhantomData<D>,
 }
 
 impl<D: Dialect, S: Store> Task<D, S> {
-    fn new(shared: Shared, store: S, service: String, model: String) -> Self {
-        let lease = Lease::new(shared.clone(), store, format!("weights/{service}/{model}"));
+    fn new(shared: Shared, store: S, service: String) -> Self {
+        let lease = Lease::new(shared.clone(), store, format!("weights/{service}"));
         Self {
             shared,
             lease,
             service,
-            model,
             director: Director::default(),
             replies: mpsc::unbounded_channel(),
             dialect: std::marker::PhantomData,
@@ -119,56 +114,62 @@
 
     fn note(&mut self, asked: &Asked) {
         let now = self.shared.now();
-        if let (Action::Report(worker), Reply::Report(report)) = (asked.action, &asked.reply) {
+        if let (&Action::Report(worker), Reply::Report(report)) = (&asked.action, &asked.reply) {
             let mut fleet = self.shared.fleet();
             for (model, version) in &report.models {
                 fleet.versioned(worker, model, *version);
             }
         }
-        self.director.note(asked, &self.model, now);
+        self.director.note(asked, now);
     }
 
     fn direct(&mut self, holding: Holding) {
         let now = self.shared.now();
-        let target = self.shared.versions.borrow().get(&self.model).copied();
-        let Some(target) = target else { return };
+        let targets: Vec<(String, u64)> = self
+            .shared
+            .versions
+            .borrow()
+            .iter()
+            .map(|(model, version)| (model.clone(), *version))
+            .collect();
         let views: Vec<View> = {
             let fleet = self.shared.fleet();
             fleet
                 .of(&self.service)
                 .filter(|(_, worker)| !worker.entry.draining)
-                .filter_map(|(key, worker)| {
-                    let version = worker.version(&self.model)?;
-                    Some(View { key, id: worker.entry.id.clone(), version })
+                .map(|(key, worker)| View {
+                    key,
+                    id: worker.entry.id.clone(),
+                    versions: worker.entry.models.clone(),
                 })
                 .collect()
         };
-        for action in self.director.plan(&views, target, now) {
+        for action in self.director.plan(&views, &targets, now) {
             self.call(action, holding);
         }
     }
 
     fn call(&self, action: Action, holding: Holding) {
-        let worker = match action {
-            Action::Report(worker) | Action::Order { worker, .. } => worker,
+        let worker = match &action {
+            Action::Report(worker) | Action::Order { worker, .. } => *worker,
         };
         let entry = self.shared.fleet().get(worker).map(|worker| worker.entry.clone());
         let Some(entry) = entry else { return };
-        let (request, line) = match action {
+        let (request, line) = match &action {
             Action::Report(_) => (D::report(entry.address, &entry.id), None),
-            Action::Order { version, expected, .. } => {
+            Action::Order { model, version, expected, .. } => {
                 let order = Order {
                     instance: &entry.id,
-                    model: &self.model,
-                    version,
+                    model,
+                    version: *version,
                     swap: self.swap(),
                     holder: &self.shared.identity.vm,
                     epoch: holding.epoch,
-                    expected: Some(expected),
+                    expected: Some(*expected),
                 };
                 let line = Line::new("order_sent")
                     .with("worker", &entry.id)
-                    .with("model", &self.model)
+                    .with("model", model)
                     .with("version", version)
                     .with("expected", expected)
                     .with("epoch", holding.epoch);
