Batches: save long outputs, know carried groups everywhere, move items to faster workers

Items on workers 1.3 times slower ended late; a takeover began every item anew; groups carried over counted as unwanted on VMs that had not run them before.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -26,8 +26,9 @@
 /// Longest pause between two events. A worker that loads weights pauses its runs for a second or
 /// two; one that crashed behind a cut never goes on.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time for which a worker that refused gets no new work: about what a slot takes to come free.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a worker that refused gets no new items. Most refusals come from a load of
+/// weights, which takes about 0.9 s.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
 /// Events over which the pace of a worker is averaged.
 const PACE_EVENTS: u32 = 4;
 
--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -115,6 +115,7 @@
             chunks: u32::try_from(pieces.len()).unwrap_or(u32::MAX),
             total: u32::try_from(submission.items.len()).unwrap_or(u32::MAX),
             host: host.to_owned(),
+            groups: submission.groups.iter().map(|group| rows::hash32(group)).collect(),
             accepted_ms: self.shared.link.borrow().store_ms(start),
             ended: false,
             complete: submission.items.is_empty(),
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -115,6 +115,8 @@
     pub total: u32,
     /// Host that it was submitted to.
     pub host: String,
+    /// Hashes of the groups' names, from which later owners tell which groups are carried over.
+    pub groups: Vec<u32>,
     /// Steady clock of the store at the submission, in milliseconds.
     pub accepted_ms: u64,
     /// Whether the caller has ended it.
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -65,6 +65,12 @@
     hasher.finish()
 }
 
+/// Short hash that is the same on all VMs.
+#[must_use]
+pub fn hash32(text: &str) -> u32 {
+    u32::try_from(hash(text) >> 32).unwrap_or_default()
+}
+
 /// Key of the owner's row.
 #[must_use]
 pub fn meta(batch: &str) -> Key {
--- a/components/entry/src/batch/run.rs
+++ b/components/entry/src/batch/run.rs
@@ -78,6 +78,8 @@
     pub avoid: Option<Key<Worker>>,
     /// Runs so far.
     pub runs: u32,
+    /// Events of the output that lie in the store.
+    pub saved: u32,
 }
 
 /// Results on their way to the store. A transaction without an answer is repeated as it is, so that
@@ -111,6 +113,8 @@
     pub finished: VecDeque<Listed>,
     /// Results being stored.
     pub storing: Option<Storing>,
+    /// Whether unfinished outputs are being stored.
+    pub saving: bool,
     /// Worker that has read the prompt of each group.
     pub prompts: Vec<Option<Key<Worker>>>,
     /// Whether the trainer waits for each group.
@@ -142,6 +146,7 @@
         let mut slots: Vec<Slot> = submission.items.iter().map(|_| Slot::default()).collect();
         for partial in partials {
             if let Some(&index) = ids.get(&partial.id) {
+                slots[index].saved = partial.events;
                 slots[index].output = Output::new(partial);
             }
         }
@@ -161,6 +166,7 @@
             submission,
             finished: VecDeque::new(),
             storing: None,
+            saving: false,
             prompts: vec![None; groups],
             wanted: vec![false; groups],
             stride: 1,
@@ -235,6 +241,7 @@
             failures: 0,
             avoid: None,
             runs: 0,
+            saved: 0,
         }
     }
 }
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -14,9 +14,9 @@
 use super::{Listed, Meta, Owner, Partial, Submission, rows};
 
 /// Time between two renewals of an owner's row.
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(700);
 /// Silence after which an owner counts as gone: three renewals.
-pub const SILENCE: Duration = Duration::from_millis(3_000);
+pub const SILENCE: Duration = Duration::from_millis(2_200);
 /// Time over which candidates spread, so that few of them meet.
 const SPREAD: Duration = Duration::from_millis(400);
 
@@ -129,6 +129,13 @@
         due
     }
 
+    /// Whether a group of `batch` was part of another batch before.
+    #[must_use]
+    pub fn is_carried(&self, batch: &str, group: u32) -> bool {
+        let others = self.batches.iter().filter(|(name, _)| *name != batch);
+        others.into_iter().any(|(_, known)| known.meta.groups.contains(&group))
+    }
+
     /// Batches whose rows may be deleted: ended or complete, and older than `retention` by the
     /// store's clock `store_ms`.
     #[must_use]
--- a/components/entry/src/batch/task.rs
+++ b/components/entry/src/batch/task.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use filbertsail_clock::Instant;
 use filbertsail_collections::{
-    HashMap, HashSet,
+    HashMap,
     arena::{Arena, Key as Handle},
 };
-use filbertsail_ports::store::{Commit, Fault, Key, Row, Store, Transaction};
+use filbertsail_ports::store::{
+    Commit, Fault, Key, MAX_VALUE_BYTES, Row, Store, Transaction,
+};
 use filbertsail_telemetry::event::Line;
 use rand::RngExt;
 use tokio::{
@@ -17,7 +19,7 @@
 };
 
 use super::{
-    Meta, Outcome, Owner,
+    Meta, Outcome, Owner, Partial,
     attempt::{Attempt, Finish},
     board::Boards,
     plan, rows,
@@ -42,14 +44,14 @@
 const MAX_RESULTS: usize = 80;
 /// Most bytes of results in one transaction.
 const MAX_RESULT_BYTES: usize = 600 * 1024;
+/// Events after which the output of an unfinished item is stored again: about a second of work.
+const SAVE_EVENTS: u32 = 25;
 /// Pause before an item runs again after a failure.
 const ITEM_RETRY: Duration = Duration::from_millis(100);
 /// Time that moving an item must save, in milliseconds: it reads its prompt and output again.
-const MOVE_GAIN_MS: f64 = 600.0;
+const MOVE_GAIN_MS: f64 = 250.0;
 /// Time on a worker before its pace is trusted for moving an item away.
 const MOVE_AFTER: Duration = Duration::from_millis(500);
-/// Groups remembered to recognize those carried over to a later step.
-const MAX_SEEN_GROUPS: usize = 4_096;
 /// Time kept beyond the retention before rows are deleted.
 const RETENTION_SLACK: Duration = Duration::from_secs(30);
 
@@ -82,6 +84,13 @@
     },
     /// Owners' rows changed.
     News(News),
+    /// Unfinished outputs were stored, or not.
+    Saved {
+        /// Batch.
+        run: Handle<Run>,
+        /// Items with the events that were stored.
+        items: Vec<(usize, u32)>,
+    },
     /// Hands all batches over to other VMs.
     HandOver(oneshot::Sender<()>),
 }
@@ -96,7 +105,6 @@
     runs: Arena<Run>,
     names: HashMap<String, Handle<Run>>,
     register: Register,
-    seen_groups: HashSet<String>,
     attempts: u64,
     renewed: Option<Instant>,
     ticked: Instant,
@@ -123,7 +131,6 @@
         commands: commands.clone(),
         runs: Arena::default(),
         names: HashMap::default(),
-        seen_groups: HashSet::default(),
         attempts: 0,
         renewed: None,
         ticked: Instant::default(),
@@ -185,6 +192,7 @@
                 self.finished(run, item, attempt, finish);
             }
             Command::Stored { run, result } => self.stored(run, result),
+            Command::Saved { run, items } => self.saved(run, &items),
             Command::News(news) => self.news(news),
             Command::HandOver(done) => self.hand_over(done),
         }
@@ -219,11 +227,7 @@
             .info();
         self.boards.set_meta(&batch, Some(meta.clone()));
         let mut run = Run::new(meta, version, submission, accepted, listed, partials);
-        run.want_groups(|group| self.seen_groups.contains(group));
-        if self.seen_groups.len() > MAX_SEEN_GROUPS {
-            self.seen_groups.clear();
-        }
-        self.seen_groups.extend(run.submission.groups.iter().cloned());
+        run.want_groups(|group| self.register.is_carried(&batch, rows::hash32(group)));
         self.boards.insert(&batch, Arc::clone(&run.board));
         let key = self.runs.insert(run);
         self.names.insert(batch, key);
@@ -627,6 +631,7 @@
         }
         self.give_up(now);
         self.move_slow(now);
+        self.save_outputs();
         self.drop_complete(now);
         self.claim(now);
         self.clean(now);
@@ -677,29 +682,38 @@
         }
     }
 
-    /// Moves items away from workers that are much slower than their peers, where that saves time.
+    /// Moves items to workers that are faster and have room, where that saves time.
     fn move_slow(&mut self, now: Instant) {
+        let Some(config) = self.shared.config() else { return };
+        let zone = &self.shared.identity.zone;
         let fleet = self.shared.fleet();
         let mut freed = Vec::new();
         for (_, run) in self.runs.iter_mut() {
             for item in 0..run.slots.len() {
                 let Phase::Running(running) = &run.slots[item].phase else { continue };
-                if now.since(running.since) < MOVE_AFTER || !fleet.is_slow(running.worker) {
+                if now.since(running.since) < MOVE_AFTER || !fleet.is_slower(running.worker) {
                     continue;
                 }
                 let Some(worker) = fleet.get(running.worker) else { continue };
-                let median = fleet.median_pace(&worker.entry.service);
+                let usual = fleet.usual_pace(&worker.entry.service);
                 let events = plan::remaining(run, item) as f64 / run.stride.max(1) as f64;
-                let gain = events * (worker.pace_ms - median);
+                let gain = events * (worker.pace_ms - usual);
                 if gain < MOVE_GAIN_MS {
                     continue;
                 }
+                let (service, from) = (worker.entry.service.clone(), running.worker);
+                let engine = engine(&config, &service);
+                let to = plan::place(run, item, &service, zone, &engine, &fleet, now);
+                let is_faster = |to: plan::Placement| to.worker != from && !fleet.is_slower(to.worker);
+                if !to.is_some_and(is_faster) {
+                    continue;
+                }
                 running.abort.abort();
                 Line::new("item_moved")
                     .with("item", &run.submission.items[item].id)
                     .with("worker", &worker.entry.id)
                     .with("pace_ms", format!("{:.0}", worker.pace_ms))
-                    .with("median_ms", format!("{median:.0}"))
+                    .with("usual_ms", format!("{usual:.0}"))
                     .info();
                 freed.push((running.worker, running.tokens));
                 run.slots[item].avoid = Some(running.worker);
@@ -712,6 +726,52 @@
         }
     }
 
+    /// Stores the outputs of long items now and then, so that another owner goes on from there.
+    fn save_outputs(&mut self) {
+        if self.shared.link.borrow().lost.is_some() {
+            return;
+        }
+        let keys: Vec<Handle<Run>> = self.runs.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let Some((batch, run)) = self.named(key) else { continue };
+            if run.saving {
+                continue;
+            }
+            let (items, writes) = unsaved(&batch, run);
+            if items.is_empty() {
+                continue;
+            }
+            let checks = vec![(rows::meta(&batch), run.version)];
+            let transaction = Transaction { checks, writes, deletes: Vec::new() };
+            if let Some(run) = self.runs.get_mut(key) {
+                run.saving = true;
+            }
+            let (store, commands) = (self.store.clone(), self.commands.clone());
+            tokio::spawn(async move {
+                let items = match store.transact(transaction).await {
+                    Ok(_) => items,
+                    Err(fault) => {
+                        Line::new("outputs_not_saved")
+                            .with("batch", &batch)
+                            .with("reason", fault)
+                            .info();
+                        Vec::new()
+                    }
+                };
+                // The task lives as long as the process.
+                let _ = commands.send(Command::Saved { run: key, items });
+            });
+        }
+    }
+
+    fn saved(&mut self, key: Handle<Run>, items: &[(usize, u32)]) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        run.saving = false;
+        for &(item, events) in items {
+            run.slots[item].saved = events;
+        }
+    }
+
     /// Frees the memory of batches that are complete and whose caller does not come back.
     fn drop_complete(&mut self, now: Instant) {
         let retention = self.shared.times.retention;
@@ -828,6 +888,31 @@
     engine.unwrap_or(Engine { slots: 1, kv_tokens: u64::MAX / 2, stride: 1, models: Vec::new() })
 }
 
+/// Outputs that have grown enough to be stored, as many as fit into one transaction.
+fn unsaved(batch: &str, run: &Run) -> (Vec<(usize, u32)>, Vec<(Key, Bytes)>) {
+    let (mut items, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
+    for (item, slot) in run.slots.iter().enumerate() {
+        if matches!(slot.phase, Phase::Ended) {
+            continue;
+        }
+        let progress = slot.output.lock();
+        let partial = &progress.partial;
+        let full = writes.len() >= MAX_RESULTS || bytes > MAX_RESULT_BYTES;
+        if full || partial.events < slot.saved + SAVE_EVENTS {
+            continue;
+        }
+        let id = run.submission.items[item].id.clone();
+        let value = rows::encode(&Partial { id, ..partial.clone() });
+        // A longer text does not fit into a row; its last shorter state stays.
+        if value.len() <= MAX_VALUE_BYTES {
+            bytes += value.len();
+            items.push((item, partial.events));
+            writes.push((rows::partial(batch, item), value));
+        }
+    }
+    (items, writes)
+}
+
 /// Takes the next results that fit into one transaction.
 fn next_results(run: &mut Run) -> Storing {
     let mut storing = Storing { first: run.stored, results: Vec::new() };
@@ -899,7 +984,7 @@
         partial.id.clone_from(&run.submission.items[item].id);
         let value = rows::encode(&partial);
         // A longer text does not fit into a row; its item starts anew.
-        if value.len() > filbertsail_ports::store::MAX_VALUE_BYTES {
+        if value.len() > MAX_VALUE_BYTES {
             continue;
         }
         bytes += value.len();
--- a/components/entry/src/fleet/item.rs
+++ b/components/entry/src/fleet/item.rs
@@ -11,13 +11,17 @@
 
 /// Share of the memory that items are planned for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.95;
-/// Share of the pace by which a full worker slows down against an empty one.
-const LOAD_WEIGHT: f64 = 0.25;
+/// Weight of the load beside the pace. A full engine produces tokens about a tenth slower than an
+/// empty one, and long items should share an engine with few others.
+const LOAD_WEIGHT: f64 = 0.3;
+/// Pace relative to the usual one up to which workers count as equally fast. The pace is measured
+/// under changing load, and a finer comparison would send all long items to one worker.
+const EVEN_PACE: f64 = 1.15;
 /// Advantage of the worker that has read the prompt of the group.
 const GROUP_BONUS: f64 = 0.12;
 /// Share of the pace that a way to another zone is worth; it costs transfer and no time that counts.
 const ZONE_PENALTY: f64 = 0.05;
-/// Pace relative to the median from which a worker is left to items that find no other.
+/// Pace relative to the usual one from which a worker is left to items that find no other.
 const SLOW: f64 = 2.0;
 
 /// What an item needs.
@@ -45,13 +49,13 @@
     /// Worker with room for an item.
     #[must_use]
     pub fn place(&self, need: &Need<'_>, kv_tokens: u64, now: Instant) -> Option<Key<Worker>> {
-        let median = self.median_pace(need.service);
+        let usual = self.usual_pace(need.service);
         let mut best: Option<(f64, Key<Worker>)> = None;
         for (key, worker) in self.of(need.service) {
             if !has_room(worker, need, kv_tokens, now) || Some(key) == need.avoid {
                 continue;
             }
-            let pace = if worker.pace_ms > 0.0 && median > 0.0 { worker.pace_ms / median } else { 1.0 };
+            let pace = relative_pace(worker, usual);
             if pace > SLOW && !need.allow_slow {
                 continue;
             }
@@ -70,15 +74,21 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether `key` is much slower than its peers.
+    /// Whether `key` is slower than most of its peers.
     #[must_use]
-    pub fn is_slow(&self, key: Key<Worker>) -> bool {
+    pub fn is_slower(&self, key: Key<Worker>) -> bool {
         let Some(worker) = self.get(key) else { return false };
-        let median = self.median_pace(&worker.entry.service);
-        median > 0.0 && worker.pace_ms > SLOW * median
+        relative_pace(worker, self.usual_pace(&worker.entry.service)) > 1.0
     }
 }
 
+/// Pace relative to the usual one; 1 for workers that are about as fast, or not known yet.
+fn relative_pace(worker: &Worker, usual: f64) -> f64 {
+    let known = worker.pace_ms > 0.0 && usual > 0.0;
+    let ratio = if known { worker.pace_ms / usual } else { 1.0 };
+    if ratio <= EVEN_PACE { 1.0 } else { ratio }
+}
+
 #[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn has_room(worker: &Worker, need: &Need<'_>, kv_tokens: u64, now: Instant) -> bool {
     let memory = (kv_tokens as f64 * MEMORY_SHARE) as u64;
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -286,13 +286,14 @@
         worker.pace_ms += PACE_WEIGHT * (interval_ms - worker.pace_ms);
     }
 
-    /// Median pace of the workers of a service that have one, in milliseconds.
+    /// Pace of a fast worker of a service, in milliseconds: the lower quartile of those known, so
+    /// that it stays the same while up to three quarters are slow.
     #[must_use]
-    pub fn median_pace(&self, service: &str) -> f64 {
+    pub fn usual_pace(&self, service: &str) -> f64 {
         let mut paces: Vec<f64> =
             self.of(service).map(|(_, worker)| worker.pace_ms).filter(|pace| *pace > 0.0).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(0.0)
+        paces.get(paces.len() / 4).copied().unwrap_or(0.0)
     }
 }
 
