--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -39,6 +39,9 @@
 /// it already.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Time after which a reader should come back: its next attempt reaches another VM.
+const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Handler of the calls on batches, cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Calls<S> {
@@ -222,10 +225,24 @@
         wait: Duration,
     ) -> Response<Body> {
         let start = self.shared.now();
+        let note = |count: usize, source: &str| {
+            Line::new("batch_read")
+                .with("batch", batch)
+                .with("after", after)
+                .with("count", count)
+                .with("source", source)
+                .with("took_ms", self.shared.now().since(start).as_millis())
+                .info();
+        };
         if let Some(board) = self.boards.get(batch)
-            && let Some(response) = self.local::<D>(&board, after, wait).await
+            && let Some(listed) = self.local(&board, after, wait).await
         {
-            return response;
+            note(listed.len(), "memory");
+            return listing::<D>(board.submission.items.len(), after, &listed);
+        }
+        if self.shared.link.borrow().lost.is_some() {
+            Line::new("read_refused").with("batch", batch).with("reason", "store lost").info();
+            return refuse("store unavailable", ELSEWHERE_RETRY_AFTER);
         }
         // The batch runs elsewhere, or its owner changed during the wait.
         loop {
@@ -239,27 +256,29 @@
                 Ok(Some((meta, listed))) => {
                     let closed = meta.ended || meta.complete || *self.shared.stopping.borrow();
                     if !listed.is_empty() || closed || now.since(start) + LOOK_INTERVAL > wait {
+                        note(listed.len(), "store");
                         return listing::<D>(meta.total as usize, after, &listed);
                     }
                     sleep(LOOK_INTERVAL).await;
                 }
-                Err(fault) if now.since(start) >= CALL_PATIENCE => {
+                Err(fault) if self.is_hopeless(start, now) => {
                     Line::new("read_refused").with("batch", batch).with("reason", fault).info();
-                    return refuse("store unavailable", Duration::from_millis(200));
+                    return refuse("store unavailable", ELSEWHERE_RETRY_AFTER);
                 }
                 Err(_) => sleep(STORE_RETRY).await,
             }
         }
     }
 
+    /// Whether a caller is better served by another VM: this one has lost the store, or waits for
+    /// it for too long already.
+    fn is_hopeless(&self, start: Instant, now: Instant) -> bool {
+        self.shared.link.borrow().lost.is_some() || now.since(start) >= CALL_PATIENCE
+    }
+
     /// Results of a batch that runs here. Nothing if readers are better served elsewhere: the batch
     /// left this VM, or the store is lost and its results may be listed by another owner.
-    async fn local<D: Dialect>(
-        &self,
-        board: &Board,
-        after: usize,
-        wait: Duration,
-    ) -> Option<Response<Body>> {
+    async fn local(&self, board: &Board, after: usize, wait: Duration) -> Option<Vec<Listed>> {
         let mut count = board.count();
         let mut stopping = self.shared.stopping.subscribe();
         if *count.borrow() <= after && !*stopping.borrow() {
@@ -272,10 +291,7 @@
         }
         let listed = board.page(after);
         let lost = self.shared.link.borrow().lost.is_some();
-        if listed.is_empty() && lost {
-            return None;
-        }
-        Some(listing::<D>(board.submission.items.len(), after, &listed))
+        (!listed.is_empty() || !lost).then_some(listed)
     }
 
     async fn meta(&self, batch: &str) -> Result<Option<(Meta, u64)>, Fault> {
@@ -318,9 +334,9 @@
             match self.submission(batch).await {
                 Ok(Some(submission)) => return body(&submission, item),
                 Ok(None) => return json(StatusCode::NOT_FOUND, "no such batch"),
-                Err(fault) if self.is_over(start, CALL_PATIENCE) => {
+                Err(fault) if self.is_hopeless(start, self.shared.now()) => {
                     Line::new("body_refused").with("batch", batch).with("reason", fault).info();
-                    return refuse("store unavailable", Duration::from_millis(200));
+                    return refuse("store unavailable", ELSEWHERE_RETRY_AFTER);
                 }
                 Err(_) => sleep(STORE_RETRY).await,
             }
@@ -350,9 +366,9 @@
                 }
                 // The owner's row changed between the read and the write.
                 Err(Fault::Conflict(_)) => {}
-                Err(fault) if self.is_over(start, CALL_PATIENCE) => {
+                Err(fault) if self.is_hopeless(start, self.shared.now()) => {
                     Line::new("end_refused").with("batch", batch).with("reason", fault).warn();
-                    return refuse("store unavailable", Duration::from_millis(300));
+                    return refuse("store unavailable", ELSEWHERE_RETRY_AFTER);
                 }
                 Err(_) => sleep(STORE_RETRY).await,
             }
--- a/components/entry/src/batch/plan.rs
+++ b/components/entry/src/batch/plan.rs
@@ -1,9 +1,9 @@
 //! Which waiting item goes to which worker.
 //!
 //! Load pattern: a step submits more items than there are slots, lengths differ by a factor of
-//! twenty, and the trainer goes on when nine groups in ten are whole. Items of wanted groups go
-//! first, and among them the longest, since the longest item bounds the step. Items of other
-//! groups fill what is left.
+//! twenty, and the trainer goes on when nine groups in ten are whole. The longest items bound the
+//! step, and which groups will be whole first is only an estimate, so long items go first whatever
+//! their group. Then come the items of the wanted groups; items of others fill what is left.
 
 use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
@@ -18,8 +18,8 @@
 const WANTED_PRIORITY: u8 = 4;
 /// Priority of the others.
 const OTHER_PRIORITY: u8 = 6;
-/// Expected tokens up to which an item may go to a slow worker while others have no room.
-const SHORT_TOKENS: u64 = 600;
+/// Part of the longest item's expected tokens from which an item bounds the step.
+const CRITICAL_PART: f64 = 0.4;
 
 /// Item to dispatch.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,22 +39,44 @@
 /// Waiting items of all runs, most urgent first.
 #[must_use]
 pub fn order(runs: &[&Run], now: Instant) -> Vec<(usize, usize)> {
-    let mut waiting: Vec<(bool, u64, usize, usize)> = Vec::new();
+    let mut waiting: Vec<(Class, u64, usize, usize)> = Vec::new();
     for (index, run) in runs.iter().enumerate() {
         for (item, slot) in run.slots.iter().enumerate() {
             let Phase::Waiting(from) = slot.phase else { continue };
             if from > now {
                 continue;
             }
-            let entry = &run.submission.items[item];
             let left = remaining(run, item);
-            waiting.push((!run.wanted[entry.group as usize], u64::MAX - left, index, item));
+            let wanted = run.wanted[run.submission.items[item].group as usize];
+            let class = match (is_critical(run, item), wanted) {
+                (true, _) => Class::Critical,
+                (false, true) => Class::Wanted,
+                (false, false) => Class::Other,
+            };
+            waiting.push((class, u64::MAX - left, index, item));
         }
     }
     waiting.sort_unstable();
     waiting.into_iter().map(|(_, _, run, item)| (run, item)).collect()
 }
 
+/// Urgency of a waiting item, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// It bounds the step.
+    Critical,
+    /// The trainer is expected to wait for its group.
+    Wanted,
+    /// The step is expected to end without its group.
+    Other,
+}
+
+/// Whether an item is among the longest of its batch.
+#[expect(clippy::cast_precision_loss)]
+fn is_critical(run: &Run, item: usize) -> bool {
+    remaining(run, item) as f64 >= run.longest() as f64 * CRITICAL_PART
+}
+
 /// Tokens that an item is still expected to produce. An item that has passed its estimate is
 /// expected to go on for half as long again.
 #[must_use]
@@ -84,6 +106,7 @@
     let group = entry.group as usize;
     let tokens = entry.prompt_tokens + entry.expected_tokens.min(entry.max_tokens);
     let wanted = run.wanted[group];
+    let is_critical = is_critical(run, item);
     let need = Need {
         service,
         zone,
@@ -92,12 +115,13 @@
         tokens,
         group: run.prompts[group],
         avoid: run.slots[item].avoid,
-        allow_slow: !wanted || entry.expected_tokens <= SHORT_TOKENS,
+        allow_slow: !is_critical,
+        is_critical,
     };
     let worker = fleet.place(&need, engine.kv_tokens, now).or_else(|| {
         // Better a slow worker, or the one that failed, than none.
         fleet.place(&Need { allow_slow: true, avoid: None, ..need }, engine.kv_tokens, now)
     })?;
-    let priority = if wanted { WANTED_PRIORITY } else { OTHER_PRIORITY };
+    let priority = if wanted || is_critical { WANTED_PRIORITY } else { OTHER_PRIORITY };
     Some(Placement { run: 0, item, worker, tokens, priority })
 }
--- a/components/entry/src/batch/run.rs
+++ b/components/entry/src/batch/run.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Expected tokens of output of the longest item.
+    #[must_use]
+    pub fn longest(&self) -> u64 {
+        self.spans.iter().copied().max().unwrap_or(0)
+    }
+
     /// Index of an item.
     #[must_use]
     pub fn index(&self, item: &str) -> Option<usize> {
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -10,6 +10,7 @@
 use filbertsail_collections::HashMap;
 use filbertsail_ports::store::{Fault, Range, Row, Store, Transaction};
 use filbertsail_telemetry::event::Line;
+use serde::{Deserialize, Serialize};
 
 use super::{Listed, Meta, Owner, Partial, Submission, rows};
 
@@ -48,9 +49,32 @@
     claiming: bool,
 }
 
+/// Row that a VM with batches renews. It carries what the VM has learnt of workers, so that the
+/// owner of the next batch begins with it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// Rises with each renewal.
+    pub number: u64,
+    /// Workers that it uses.
+    pub workers: Vec<Sight>,
+}
+
+/// Worker as the VM that wrote a renewal sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sight {
+    /// Short hash of the worker's identifier.
+    pub worker: u32,
+    /// Milliseconds between two events, rounded; zero if not known.
+    pub pace_ms: u16,
+    /// Requests of that VM under way.
+    pub in_flight: u16,
+}
+
 /// Row that a VM renews, as last seen.
 #[derive(Clone, Copy, Debug)]
-struct Renewal {
+struct Sign {
     incarnation: u64,
     seen: Instant,
 }
@@ -60,7 +84,7 @@
 pub struct Register {
     me: Owner,
     batches: HashMap<String, Known>,
-    vms: HashMap<String, Renewal>,
+    vms: HashMap<String, Sign>,
 }
 
 impl Register {
@@ -87,7 +111,7 @@
 
     /// Notes the row that a VM renews.
     pub fn renewed(&mut self, vm: &str, incarnation: u64, now: Instant) {
-        self.vms.insert(vm.to_owned(), Renewal { incarnation, seen: now });
+        self.vms.insert(vm.to_owned(), Sign { incarnation, seen: now });
     }
 
     /// Whether this VM's row names an earlier process, whose batches wait for a new owner.
@@ -152,7 +176,7 @@
 fn is_gone(
     meta: &Meta,
     seen: Instant,
-    vms: &HashMap<String, Renewal>,
+    vms: &HashMap<String, Sign>,
     me: &Owner,
     steady_since: Instant,
     now: Instant,
--- a/components/entry/src/batch/task.rs
+++ b/components/entry/src/batch/task.rs
@@ -24,7 +24,7 @@
     board::Boards,
     plan, rows,
     run::{Phase, Run, Running, Storing},
-    takeover::{self, Adoption, Register, RENEW_INTERVAL},
+    takeover::{self, Adoption, RENEW_INTERVAL, Register, Renewal},
 };
 use crate::{
     config::{Config, Engine, Route},
@@ -284,11 +284,16 @@
 
     fn vm_row(&mut self, row: &Row, now: Instant) {
         let Some(value) = &row.value else { return };
-        match rows::decode::<(u64, u64)>(value) {
-            Ok((incarnation, _)) => self.register.renewed(&row.key, incarnation, now),
+        let renewal: Renewal = match rows::decode(value) {
+            Ok(renewal) => renewal,
             Err(error) => {
                 Line::new("row_corrupt").with("vm", &row.key).with("reason", error).error();
+                return;
             }
+        };
+        self.register.renewed(&row.key, renewal.incarnation, now);
+        if row.key != self.me.vm {
+            self.shared.fleet().heard(rows::hash32(&row.key), &renewal.workers, now);
         }
     }
 
@@ -639,7 +644,12 @@
 
     fn renew(&mut self, now: Instant) {
         self.renewed = Some(now);
-        let value = rows::encode(&(self.me.incarnation, now.as_micros()));
+        let renewal = Renewal {
+            incarnation: self.me.incarnation,
+            number: now.as_micros(),
+            workers: self.shared.fleet().sights(),
+        };
+        let value = rows::encode(&renewal);
         let transaction =
             Transaction { writes: vec![(rows::vm(&self.me.vm), value)], ..Transaction::default() };
         let store = self.store.clone();
--- a/components/entry/src/fleet/item.rs
+++ b/components/entry/src/fleet/item.rs
@@ -14,6 +14,11 @@
 /// Weight of the load beside the pace. A full engine produces tokens about a tenth slower than an
 /// empty one, and long items should share an engine with few others.
 const LOAD_WEIGHT: f64 = 0.3;
+/// Weight of the memory that is taken: it stands for the long items of a worker, which each
+/// further item slows down.
+const MEMORY_WEIGHT: f64 = 0.5;
+/// Weight of the pace for items that end long before the step does.
+const EASY_PACE_WEIGHT: f64 = 0.3;
 /// Pace relative to the usual one up to which workers count as equally fast. The pace is measured
 /// under changing load, and a finer comparison would send all long items to one worker.
 const EVEN_PACE: f64 = 1.15;
@@ -43,11 +48,14 @@
     pub avoid: Option<Key<Worker>>,
     /// Whether a slow worker will do.
     pub allow_slow: bool,
+    /// Whether the step waits for this item longer than for most others.
+    pub is_critical: bool,
 }
 
 impl Fleet {
     /// Worker with room for an item.
     #[must_use]
+    #[expect(clippy::cast_precision_loss)]
     pub fn place(&self, need: &Need<'_>, kv_tokens: u64, now: Instant) -> Option<Key<Worker>> {
         let usual = self.usual_pace(need.service);
         let mut best: Option<(f64, Key<Worker>)> = None;
@@ -60,7 +68,12 @@
                 continue;
             }
             let load = f64::from(worker.load(now)) / f64::from(worker.entry.slots.max(1));
-            let mut cost = pace * (1.0 + LOAD_WEIGHT * load);
+            let memory = worker.tokens as f64 / kv_tokens.max(1) as f64;
+            let mut cost = if need.is_critical {
+                pace * (1.0 + LOAD_WEIGHT * load) + memory * MEMORY_WEIGHT
+            } else {
+                pace * EASY_PACE_WEIGHT + load + memory * MEMORY_WEIGHT
+            };
             if worker.entry.zone != need.zone {
                 cost += ZONE_PENALTY;
             }
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -18,7 +18,10 @@
 pub use item::Need;
 pub use plain::Wish;
 
-use crate::dialect::Load;
+use crate::{
+    batch::{rows::hash32, takeover::Sight},
+    dialect::Load,
+};
 
 /// Time for which the load stated in an answer counts. Requests of rollouts last about that long.
 const LOAD_AGE: Duration = Duration::from_secs(2);
@@ -70,8 +73,10 @@
     pub in_flight: u32,
     /// Tokens that these requests are expected to hold in memory.
     pub tokens: u64,
-    /// Requests of other VMs, and when they were stated.
+    /// Requests of other VMs, and when the worker stated them.
     others: Option<(u32, Instant)>,
+    /// Requests of other VMs as these stated them.
+    heard: Vec<Heard>,
     /// Milliseconds between two events of a stream; zero before the first.
     pub pace_ms: f64,
     /// Failures of late.
@@ -92,8 +97,14 @@
     /// Requests that it holds as far as known.
     #[must_use]
     pub fn load(&self, now: Instant) -> u32 {
-        let others = self.others.filter(|(_, at)| now.since(*at) < LOAD_AGE);
-        self.in_flight + others.map_or(0, |(others, _)| others)
+        let heard = self.heard.iter().filter(|heard| now.since(heard.at) < LOAD_AGE);
+        let newest = heard.clone().map(|heard| heard.at).max();
+        let heard: u32 = heard.map(|heard| heard.in_flight).sum();
+        // The newer of the two sources counts.
+        let stated = self.others.filter(|(_, at)| {
+            now.since(*at) < LOAD_AGE && newest.is_none_or(|newest| *at >= newest)
+        });
+        self.in_flight + stated.map_or(heard, |(others, _)| others)
     }
 
     /// Whether new work may go there.
@@ -103,6 +114,14 @@
     }
 }
 
+/// Requests that another VM has under way.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    vm: u32,
+    in_flight: u32,
+    at: Instant,
+}
+
 /// What a change of the register did to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -222,6 +241,7 @@
             in_flight: 0,
             tokens: 0,
             others: None,
+            heard: Vec::new(),
             pace_ms: 0.0,
             breaker: Breaker::default(),
             refusing_until: Instant::default(),
@@ -286,6 +306,39 @@
         worker.pace_ms += PACE_WEIGHT * (interval_ms - worker.pace_ms);
     }
 
+    /// What this VM knows of the workers that it uses.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn sights(&self) -> Vec<Sight> {
+        let used = |worker: &&Worker| worker.pace_ms > 0.0 || worker.in_flight > 0;
+        self.workers
+            .iter()
+            .map(|(_, worker)| worker)
+            .filter(used)
+            .map(|worker| Sight {
+                worker: hash32(&worker.entry.id),
+                pace_ms: worker.pace_ms.round().min(f64::from(u16::MAX)) as u16,
+                in_flight: u16::try_from(worker.in_flight).unwrap_or(u16::MAX),
+            })
+            .collect()
+    }
+
+    /// Notes what the VM `vm` knows of its workers.
+    pub fn heard(&mut self, vm: u32, sights: &[Sight], now: Instant) {
+        let sights: HashMap<u32, &Sight> =
+            sights.iter().map(|sight| (sight.worker, sight)).collect();
+        for (_, worker) in self.workers.iter_mut() {
+            let Some(sight) = sights.get(&hash32(&worker.entry.id)) else { continue };
+            // What this VM measures itself while it has items there is newer.
+            if worker.in_flight == 0 && sight.in_flight > 0 && sight.pace_ms > 0 {
+                worker.pace_ms = f64::from(sight.pace_ms);
+            }
+            worker.heard.retain(|heard| heard.vm != vm);
+            let in_flight = u32::from(sight.in_flight);
+            worker.heard.push(Heard { vm, in_flight, at: now });
+        }
+    }
+
     /// Pace of a fast worker of a service, in milliseconds: the lower quartile of those known, so
     /// that it stays the same while up to three quarters are slow.
     #[must_use]
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -127,12 +127,15 @@
         self.config.borrow().clone()
     }
 
-    /// Whether callers may be sent here: the configuration and the workers are known, and the
-    /// process was not asked to stop. An outage of the store later on changes nothing.
+    /// Whether callers may be sent here: the configuration is known, the store answers, and the
+    /// process was not asked to stop. Callers with batches are better served by a VM that reaches
+    /// the store; when none does, the load balancer uses them all.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        let link = *self.link.borrow();
         self.config.borrow().is_some()
-            && self.link.borrow().regained.is_some()
+            && link.regained.is_some()
+            && link.lost.is_none()
             && !*self.stopping.borrow()
     }
 }
