--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -118,6 +118,8 @@
             chunks: u32::try_from(pieces.len()).unwrap_or(u32::MAX),
             total: u32::try_from(submission.items.len()).unwrap_or(u32::MAX),
             host: host.to_owned(),
+            model: submission.model.clone(),
+            lag: self.lag(&submission),
             groups: submission.groups.iter().map(|group| rows::hash32(group)).collect(),
             accepted_ms: self.shared.link.borrow().store_ms(start),
             ended: false,
@@ -140,6 +142,11 @@
         Ok(())
     }
 
+    fn lag(&self, submission: &Submission) -> Option<u64> {
+        let named = self.shared.versions.borrow().get(&submission.model).copied()?;
+        named.checked_sub(submission.min_version)
+    }
+
     /// Stores all but the last pieces of a submission; returns the transaction with the last ones.
     /// Pieces without an owner's row are no batch, so they need no check.
     async fn store_pieces(
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -115,6 +115,11 @@
     pub total: u32,
     /// Host that it was submitted to.
     pub host: String,
+    /// Model.
+    pub model: String,
+    /// Versions by which its samples may lag behind the newest version at the submission; absent
+    /// while no version has been named.
+    pub lag: Option<u64>,
     /// Hashes of the groups' names, from which later owners tell which groups are carried over.
     pub groups: Vec<u32>,
     /// Steady clock of the store at the submission, in milliseconds.
--- a/components/entry/src/batch/task.rs
+++ b/components/entry/src/batch/task.rs
@@ -314,6 +314,11 @@
         if !self.register.note(batch, meta.clone(), row.version, now) {
             return;
         }
+        if let Some(lag) = meta.lag.filter(|_| !meta.ended) {
+            self.shared.lags.send_modify(|lags| {
+                lags.insert(meta.model.clone(), lag);
+            });
+        }
         self.boards.set_meta(batch, Some(meta.clone()));
         if let Some(key) = self.names.get(batch).copied() {
             self.owned_row(batch, key, meta, row.version);
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -83,6 +83,8 @@
     pub config: Arc<watch::Sender<Option<Arc<Config>>>>,
     /// Newest weight version by model.
     pub versions: Arc<watch::Sender<HashMap<String, u64>>>,
+    /// Versions by which the steps of a model may lag behind the newest, as last submitted.
+    pub lags: Arc<watch::Sender<HashMap<String, u64>>>,
     /// Connection to the store.
     pub link: Arc<watch::Sender<Link>>,
     /// Whether the process was asked to stop.
@@ -102,6 +104,7 @@
             pool: Pool::default(),
             config: Arc::new(watch::channel(None).0),
             versions: Arc::new(watch::channel(HashMap::default()).0),
+            lags: Arc::new(watch::channel(HashMap::default()).0),
             link: Arc::new(watch::channel(Link::default()).0),
             stopping: Arc::new(watch::channel(false).0),
             fleet_changed: Arc::new(watch::channel(0).0),
--- a/components/entry/src/weights/mod.rs
+++ b/components/entry/src/weights/mod.rs
@@ -9,5 +9,5 @@
 mod plan;
 mod task;
 
-pub use plan::{Action, Asked, Director, Reply, View};
+pub use plan::{Action, Asked, Director, Reply, Target, View};
 pub use task::run;
--- a/components/entry/src/weights/plan.rs
+++ b/components/entry/src/weights/plan.rs
@@ -1,4 +1,8 @@
 //! Which worker is asked or ordered next.
+//!
+//! Not every worker needs every version. Loads are slow when many run at once, so each version goes
+//! to a share of the workers that is enough for its trainer. Where a step may use the version before
+//! the newest, those with the version before go on undisturbed, and others load the newest.
 
 use std::time::Duration;
 
@@ -27,20 +31,27 @@
     pub id: String,
     /// Weight version of each model that it serves.
     pub versions: Vec<(String, u64)>,
+    /// Whether it answers, as far as known.
+    pub is_usable: bool,
+    /// Requests under way.
+    pub load: u32,
+}
+
+/// Newest version of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Versions by which steps may lag behind the newest; absent if not known yet.
+    pub lag: Option<u64>,
 }
 
 impl View {
     fn version(&self, model: &str) -> Option<u64> {
         self.versions.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
     }
-
-    /// Model that is furthest behind its target, with the target.
-    fn wanted<'a>(&self, targets: &'a [(String, u64)]) -> Option<&'a (String, u64)> {
-        let behind = |target: &&(String, u64)| {
-            self.version(&target.0).map_or(0, |version| target.1.saturating_sub(version))
-        };
-        targets.iter().filter(|target| behind(target) > 0).max_by_key(behind)
-    }
 }
 
 /// Call to make.
@@ -114,13 +125,8 @@
 }
 
 impl Director {
-    /// Calls to make now, with the newest version of each model in `targets`.
-    pub fn plan(
-        &mut self,
-        workers: &[View],
-        targets: &[(String, u64)],
-        now: Instant,
-    ) -> Vec<Action> {
+    /// Calls to make now.
+    pub fn plan(&mut self, workers: &[View], targets: &[Target], now: Instant) -> Vec<Action> {
         let known: HashSet<Key<Worker>> = workers.iter().map(|worker| worker.key).collect();
         self.workers.retain(|key, _| known.contains(key));
         let width = workers.len().div_ceil(LOADING_PART).max(1);
@@ -130,40 +136,93 @@
             state.observe(view);
             loading += usize::from(state.ordered.is_some() || state.busy);
         }
-        let mut order: Vec<(&View, &(String, u64))> =
-            workers.iter().filter_map(|view| Some((view, view.wanted(targets)?))).collect();
-        order.sort_by_key(|(view, target)| (view.version(&target.0), view.id.as_str()));
         let mut actions = Vec::new();
-        for (view, (model, version)) in order {
-            let Some(state) = self.workers.get_mut(&view.key) else { continue };
-            if state.calling || now < state.not_before {
-                continue;
-            }
-            if let Some(ordered) = &state.ordered {
-                if now.since(ordered.at) >= FIRST_LOOK {
-                    state.calling = true;
-                    actions.push(Action::Report(view.key));
+        self.look(workers, now, &mut actions);
+        for target in self.by_need(workers, targets) {
+            for view in self.candidates(workers, targets, target) {
+                if loading >= width || self.missing(workers, targets, target) == 0 {
+                    break;
                 }
-                continue;
+                let Some(state) = self.workers.get_mut(&view.key) else { continue };
+                if state.calling || now < state.not_before || state.busy || state.ordered.is_some()
+                {
+                    continue;
+                }
+                loading += 1;
+                state.calling = true;
+                let Some(expected) = state.orders else {
+                    actions.push(Action::Report(view.key));
+                    continue;
+                };
+                let (model, version) = (target.model.clone(), target.version);
+                state.ordered = Some(Ordered { model: model.clone(), version, at: now });
+                actions.push(Action::Order { worker: view.key, model, version, expected });
             }
-            if state.busy || (state.orders.is_none() && loading < width) {
+        }
+        actions
+    }
+
+    /// Asks workers whose order should show by now.
+    fn look(&mut self, workers: &[View], now: Instant, actions: &mut Vec<Action>) {
+        for view in workers {
+            let Some(state) = self.workers.get_mut(&view.key) else { continue };
+            let due = match &state.ordered {
+                Some(ordered) => now.since(ordered.at) >= FIRST_LOOK,
+                None => state.busy,
+            };
+            if due && !state.calling && now >= state.not_before {
                 state.calling = true;
                 actions.push(Action::Report(view.key));
-                loading += usize::from(!state.busy);
-                continue;
             }
-            let Some(expected) = state.orders.filter(|_| loading < width) else { continue };
-            state.calling = true;
-            state.ordered = Some(Ordered { model: model.clone(), version: *version, at: now });
-            loading += 1;
-            actions.push(Action::Order {
-                worker: view.key,
-                model: model.clone(),
-                version: *version,
-                expected,
-            });
         }
-        actions
+    }
+
+    /// Targets, those that lack most workers first.
+    fn by_need<'a>(&self, workers: &[View], targets: &'a [Target]) -> Vec<&'a Target> {
+        let mut order: Vec<&Target> = targets.iter().collect();
+        order.sort_by_key(|target| {
+            (std::cmp::Reverse(self.missing(workers, targets, target)), target.model.as_str())
+        });
+        order
+    }
+
+    /// Workers that still need an order for the target.
+    fn missing(&self, workers: &[View], targets: &[Target], target: &Target) -> usize {
+        let usable = workers.iter().filter(|view| view.is_usable).count();
+        let serve = workers.iter().filter(|view| view.is_usable && self.serves(view, target));
+        share(usable, targets.len(), target).saturating_sub(serve.count())
+    }
+
+    fn serves(&self, view: &View, target: &Target) -> bool {
+        let loads = self.workers.get(&view.key).and_then(|state| state.ordered.as_ref());
+        let loads = loads.is_some_and(|ordered| {
+            ordered.model == target.model && ordered.version >= target.version
+        });
+        loads || view.version(&target.model).is_some_and(|version| version >= target.version)
+    }
+
+    /// Workers that may load the target, best first.
+    fn candidates<'a>(
+        &self,
+        workers: &'a [View],
+        targets: &[Target],
+        target: &Target,
+    ) -> Vec<&'a View> {
+        let lags = target.lag.is_some_and(|lag| lag > 0);
+        let mut order: Vec<&View> = workers
+            .iter()
+            .filter(|view| view.is_usable && view.version(&target.model).is_some())
+            .filter(|view| !self.serves(view, target))
+            .collect();
+        order.sort_by_key(|view| {
+            let behind =
+                view.version(&target.model).map_or(0, |version| target.version - version);
+            // With a lag those one version behind still serve; without, they are the ones to renew.
+            let last = if lags { behind == 1 } else { behind > 1 };
+            let hosted = targets.iter().filter(|other| hosts(view, other)).count();
+            (last, hosted, view.load, view.id.as_str())
+        });
+        order
     }
 
     /// Takes note of a reply.
@@ -196,6 +255,20 @@
     }
 }
 
+/// Workers that should have the newest version of a model.
+fn share(workers: usize, models: usize, target: &Target) -> usize {
+    match target.lag {
+        // Steps use two versions in turn, so half of the workers for each.
+        Some(lag) if lag > 0 => workers.div_ceil(models.max(2)),
+        _ => workers.div_ceil(models.max(1)),
+    }
+}
+
+/// Whether a worker is among those that a model's steps use.
+fn hosts(view: &View, target: &Target) -> bool {
+    view.version(&target.model).is_some_and(|version| version + 1 >= target.version)
+}
+
 impl State {
     /// Takes note of an order whose effect shows in the register or in answers.
     fn observe(&mut self, view: &View) {
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -15,7 +15,7 @@
     time::{sleep, timeout},
 };
 
-use super::{Action, Asked, Director, Reply, View, lease::Lease};
+use super::{Action, Asked, Director, Reply, Target, View, lease::Lease};
 use crate::{
     config::{Kind, Service},
     dialect::{Dialect, Order, Swap},
@@ -125,13 +125,20 @@
 
     fn direct(&mut self, holding: Holding) {
         let now = self.shared.now();
-        let targets: Vec<(String, u64)> = self
-            .shared
-            .versions
-            .borrow()
-            .iter()
-            .map(|(model, version)| (model.clone(), *version))
-            .collect();
+        let Some(config) = self.shared.config() else { return };
+        let models = config.services.get(&self.service).and_then(|it| it.engine.as_ref());
+        let models = models.map_or(&[][..], |engine| engine.models.as_slice());
+        let targets: Vec<Target> = {
+            let (versions, lags) = (self.shared.versions.borrow(), self.shared.lags.borrow());
+            let named = models.iter().filter_map(|model| Some((model, *versions.get(model)?)));
+            named
+                .map(|(model, version)| Target {
+                    model: model.clone(),
+                    version,
+                    lag: lags.get(model).copied(),
+                })
+                .collect()
+        };
         let views: Vec<View> = {
             let fleet = self.shared.fleet();
             fleet
@@ -141,6 +148,8 @@
                     key,
                     id: worker.entry.id.clone(),
                     versions: worker.entry.models.clone(),
+                    is_usable: worker.breaker.admits(now),
+                    load: worker.load(now),
                 })
                 .collect()
         };
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -4,7 +4,7 @@
 use filbertsail_clock::Instant;
 use filbertsail_entry::{
     fleet::{Entry, Fleet, Report},
-    weights::{Action, Asked, Director, Reply, View},
+    weights::{Action, Asked, Director, Reply, Target, View},
 };
 
 fn fleet(count: usize) -> Fleet {
@@ -29,12 +29,18 @@
         key,
         id: worker.entry.id.clone(),
         versions: worker.entry.models.clone(),
+        is_usable: true,
+        load: 0,
     };
     fleet.of("lm").map(view).collect()
 }
 
-fn targets(m: u64, n: u64) -> Vec<(String, u64)> {
-    vec![("m".to_owned(), m), ("n".to_owned(), n)]
+fn target(model: &str, version: u64, lag: u64) -> Target {
+    Target { model: model.to_owned(), version, lag: Some(lag) }
+}
+
+fn targets(m: u64, n: u64) -> Vec<Target> {
+    vec![target("m", m, 0), target("n", n, 0)]
 }
 
 fn at(ms: u64) -> Instant {
@@ -46,7 +52,7 @@
 }
 
 /// Answers every call so that orders are accepted; returns the orders.
-fn round(director: &mut Director, views: &[View], targets: &[(String, u64)], ms: u64) -> Vec<Action> {
+fn round(director: &mut Director, views: &[View], targets: &[Target], ms: u64) -> Vec<Action> {
     let actions = director.plan(views, targets, at(ms));
     let mut orders = Vec::new();
     for action in actions {
@@ -119,3 +125,41 @@
     let again = director.plan(&views, &targets(2, 1), at(1_200));
     assert!(matches!(again.as_slice(), [Action::Order { expected: 0, .. }]), "{again:?}");
 }
+
+/// Loads what the director orders at once; returns the workers by their version of the model `m`.
+fn settle(director: &mut Director, fleet: &mut Fleet, targets: &[Target], start: u64) -> Vec<u64> {
+    for step in 0..40 {
+        let now = start + step * 1_000;
+        for order in round(director, &views(fleet), targets, now) {
+            let Action::Order { worker, model, version, .. } = order else { continue };
+            fleet.versioned(worker, &model, version);
+        }
+    }
+    let mut versions: Vec<u64> =
+        fleet.of("lm").filter_map(|(_, worker)| worker.version("m")).collect();
+    versions.sort_unstable();
+    versions
+}
+
+/// Guards against a version that all workers load though steps may use the one before: each load
+/// then keeps workers from taking the items of the step that has just begun.
+#[test]
+fn can_load_versions_in_turn_where_steps_may_lag() {
+    let mut fleet = fleet(8);
+    let mut director = Director::default();
+    let mut named = |version| {
+        settle(&mut director, &mut fleet, &[target("m", version, 1)], version * 100_000)
+    };
+    assert_eq!(named(2), [1, 1, 1, 1, 2, 2, 2, 2]);
+    assert_eq!(named(3), [2, 2, 2, 2, 3, 3, 3, 3]);
+    assert_eq!(named(4), [3, 3, 3, 3, 4, 4, 4, 4]);
+}
+
+/// Guards against steps that find no worker where they may not lag behind.
+#[test]
+fn can_load_all_workers_where_steps_may_not_lag() {
+    let mut fleet = fleet(8);
+    let mut director = Director::default();
+    let versions = settle(&mut director, &mut fleet, &[target("m", 2, 0)], 0);
+    assert_eq!(versions, [2; 8]);
+}
