Store: call through a peer while the store is not reached

Cause: a VM that the store refuses or that lost the way to it held up the step it owned and the orders it gave: its batch began anew elsewhere after 2.7 s, and a new holder of the lease had to wait for 5.5 s.

--- a/components/entry/src/batch/task.rs
+++ b/components/entry/src/batch/task.rs
@@ -146,6 +146,7 @@
             parts: rows::parts(),
             watches_link: false,
             pause: Duration::from_millis(20),
+            wait: follow::WAIT,
         };
         // The task lives as long as the process.
         follow::follow(shared, store, table, move |news| {
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -17,9 +17,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    batch::{board::Boards, calls::Calls, task},
+    batch::{board::Boards, calls::Calls, rows, task},
     dialect::Dialect,
     follow,
+    relay::{self, PEERS, Peers, Relay, Tables},
     shared::{Identity, Shared, Times},
     weights,
 };
@@ -49,6 +50,8 @@
     pub times: Times,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for the other VMs.
+    pub peers: SocketAddr,
     /// Address at which the load balancer asks whether the daemon is ready.
     pub readiness: SocketAddr,
 }
@@ -75,6 +78,22 @@
     }
 }
 
+/// Tables that calls through a peer may name.
+const fn tables<D: Dialect>() -> &'static [&'static str] {
+    const {
+        &[
+            rows::BATCHES,
+            rows::BODIES,
+            rows::RESULTS,
+            rows::PARTIALS,
+            weights::TABLE,
+            PEERS,
+            D::OPERATOR_TABLE,
+            D::WORKER_TABLE,
+        ]
+    }
+}
+
 /// Starts a daemon; it ends gracefully after `stop`.
 ///
 /// # Errors
@@ -89,6 +108,14 @@
         TcpListener::bind(address).await.wrap_err_with(|| format!("binding {address}"))
     };
     let (front, readiness) = (bind(settings.callers).await?, bind(settings.readiness).await?);
+    let peer_listener = bind(settings.peers).await?;
+    let peers = Peers::default();
+    let tables = Tables(tables::<D>());
+    let direct = store;
+    let store = Relay::new(direct.clone(), peers.clone(), tables);
+    let peers_task =
+        relay::run(shared.clone(), direct, peers, tables, peer_listener, CancellationToken::new());
+    let peers_task = tokio::spawn(peers_task);
     let (callers, ready) = (front.local_addr()?, readiness.local_addr()?);
     Line::new("started")
         .with("vm", &shared.identity.vm)
@@ -97,17 +124,17 @@
         .with("callers", callers)
         .with("readiness", ready)
         .info();
-    tokio::spawn(follow::operator::<D, S>(shared.clone(), store.clone()));
-    tokio::spawn(follow::workers::<D, S>(shared.clone(), store.clone()));
+    tokio::spawn(follow::operator::<D, _>(shared.clone(), store.clone()));
+    tokio::spawn(follow::workers::<D, _>(shared.clone(), store.clone()));
     let boards = Boards::default();
-    let task = task::start::<D, S>(shared.clone(), store.clone(), boards.clone());
-    let weights = tokio::spawn(weights::run::<D, S>(shared.clone(), store.clone()));
+    let task = task::start::<D, _>(shared.clone(), store.clone(), boards.clone());
+    let weights = tokio::spawn(weights::run::<D, _>(shared.clone(), store.clone()));
     let calls = Calls { shared: shared.clone(), store, boards, task: task.clone() };
     let closed = CancellationToken::new();
     let front = tokio::spawn(server::serve(
         front,
         LIMITS,
-        Front::<D, S>::new(calls),
+        Front::<D, Relay<S>>::new(calls),
         closed.clone(),
     ));
     let ready_handler = Readiness::<D>::new(shared.clone());
@@ -131,6 +158,7 @@
         };
         let finished = timeout(limit, rest).await.is_ok();
         ready_task.abort();
+        peers_task.abort();
         Line::new("stopped")
             .with("vm", &state.identity.vm)
             .with("finished", finished)
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -19,8 +19,8 @@
 
 use crate::shared::Shared;
 
-/// Longest wait for a change. It bounds the time lost on a feed that fell silent.
-const WAIT: Duration = Duration::from_millis(1_000);
+/// Usual wait for a change.
+pub const WAIT: Duration = Duration::from_millis(1_000);
 /// Pause before a call is repeated after a failure.
 const RETRY: Duration = Duration::from_millis(150);
 /// Longest pause; the store's return must be noticed within a fraction of a second.
@@ -48,6 +48,8 @@
     pub watches_link: bool,
     /// Pause after each news, so that several changes share a call.
     pub pause: Duration,
+    /// Longest wait for a change. It bounds the time lost on a feed that fell silent.
+    pub wait: Duration,
 }
 
 /// Follows a table for good.
@@ -71,7 +73,7 @@
             }
         };
         loop {
-            match store.changes(table.name, version, WAIT).await {
+            match store.changes(table.name, version, table.wait).await {
                 Ok(page) => {
                     backoff = RETRY;
                     answered(&shared, &table, &page);
--- a/components/entry/src/follow/operator.rs
+++ b/components/entry/src/follow/operator.rs
@@ -5,7 +5,7 @@
 use filbertsail_ports::store::{Row, Store};
 use filbertsail_telemetry::event::Line;
 
-use super::{News, Table, follow};
+use super::{News, Table, WAIT, follow};
 use crate::{
     config::Config,
     dialect::{Dialect, Directive},
@@ -19,6 +19,7 @@
         parts: vec![String::new()],
         watches_link: true,
         pause: Duration::ZERO,
+        wait: WAIT,
     };
     let target = shared.clone();
     follow(shared, store, table, move |news| {
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -7,7 +7,7 @@
 use filbertsail_telemetry::event::Line;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::{News, Table, follow};
+use super::{News, Table, WAIT, follow};
 use crate::{
     dialect::Dialect,
     fleet::{Change, LAPSE_GRACE},
@@ -27,6 +27,7 @@
         parts: vec![String::new()],
         watches_link: false,
         pause: PAUSE,
+        wait: WAIT,
     };
     let target = shared.clone();
     let feed = follow(shared.clone(), store, table, move |news| apply::<D>(&target, news));
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod fleet;
 pub mod follow;
 pub mod forward;
+pub mod relay;
 pub mod shared;
 pub mod weights;
--- a/components/entry/src/weights/lease.rs
+++ b/components/entry/src/weights/lease.rs
@@ -14,9 +14,10 @@
 use crate::{batch::rows, shared::Shared};
 
 /// Table of leases.
-const TABLE: &str = "leases";
-/// Time after which a silent holder may be replaced. A holder renews three times in it.
-const TTL: Duration = Duration::from_secs(2);
+pub const TABLE: &str = "leases";
+/// Time after which a silent holder may be replaced. A holder renews three times in it, so that a
+/// renewal whose answer was lost can be repeated through a peer.
+const TTL: Duration = Duration::from_millis(2_400);
 /// Time over which candidates spread.
 const SPREAD: Duration = Duration::from_millis(600);
 
--- a/components/wire/src/codec/mod.rs
+++ b/components/wire/src/codec/mod.rs
@@ -129,6 +129,8 @@
     16 => Config,
     17 => Done,
     18 => Offer,
+    19 => Relay,
+    20 => Relayed,
 }
 
 fn assemble(kind: u16, body: &[u8]) -> Result<Bytes, Error> {
--- a/components/wire/src/frame/mod.rs
+++ b/components/wire/src/frame/mod.rs
@@ -45,6 +45,10 @@
     Config(Config),
     /// Empty answer.
     Done(Done),
+    /// Call to the store, made by a daemon that reaches it.
+    Relay(Relay),
+    /// Answer of the store.
+    Relayed(Relayed),
 }
 
 /// Identity of a daemon, sent at the start of each connection.
@@ -346,3 +350,17 @@
 /// Empty answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Done;
+
+/// Call to the store by a daemon that does not reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Relay {
+    /// Encoded call.
+    pub call: Vec<u8>,
+}
+
+/// Answer of the store to a relayed call.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Relayed {
+    /// Encoded answer.
+    pub answer: Vec<u8>,
+}
