--- a/components/cluster/src/lease/machine.rs
+++ b/components/cluster/src/lease/machine.rs
@@ -55,6 +55,8 @@
     /// A read is needed before anything else.
     stale: bool,
     look_at: Instant,
+    /// Whether an earlier process of this name has surely ended.
+    succeeds: bool,
 }
 
 impl Machine {
@@ -72,9 +74,24 @@
             renew_at: Instant::default(),
             stale: true,
             look_at: Instant::default(),
+            succeeds: false,
         }
     }
 
+    /// Takes a lease of an earlier process of the same name at once and without waiting for its
+    /// orders. Only where a VM runs one process, which has ended before the next one starts, and
+    /// engines tell holders apart by VM.
+    #[must_use]
+    pub fn succeeding(self) -> Self {
+        Self { succeeds: true, ..self }
+    }
+
+    fn is_predecessor(&self, value: &Value) -> bool {
+        self.succeeds
+            && value.holder.as_ref() == Some(&self.name)
+            && value.incarnation != self.incarnation
+    }
+
     /// Lease while it is held at `now`.
     #[must_use]
     pub fn holding(&self, now: Instant) -> Option<Holding> {
@@ -119,6 +136,7 @@
     /// Time from which the lease may be taken.
     fn free_from(&self, seen: &Seen, delay: Duration) -> Instant {
         match &seen.value {
+            Some(value) if self.is_predecessor(value) => seen.since,
             Some(value) if value.holder.is_some() => {
                 seen.since.after(Duration::from_millis(value.ttl_ms)).after(delay)
             }
@@ -133,16 +151,20 @@
         let orders_from = match (&self.holding, &seen.value) {
             (Some(holding), _) if mine => holding.orders_from,
             (_, None) => now,
+            // Its last order and the next one come from the same VM.
+            (_, Some(value)) if self.is_predecessor(value) && value.ordering => now,
             // The old lease has expired or was released; its last order may still be alive.
             _ => now.after(self.times.order_life + self.times.order_life / MARGIN_DIVISOR),
         };
         let deadline = now.after(self.times.ttl - self.times.ttl / MARGIN_DIVISOR);
         let holding = Holding { epoch, deadline, orders_from };
+        // A holder may order until its deadline, so what begins before it counts.
+        let ordering = orders_from <= deadline;
         self.attempt = Some(Attempt { token: token.clone(), sent: now, holding });
         // Until the outcome is known nothing else may be decided.
         self.stale = true;
         self.look_at = now;
-        self.transaction(seen, token, epoch, Some(self.name.clone()))
+        self.transaction(seen, token, epoch, Some(self.name.clone()), ordering)
     }
 
     fn transaction(
@@ -151,11 +173,12 @@
         token: String,
         epoch: u64,
         holder: Option<String>,
+        ordering: bool,
     ) -> Transaction {
         let key = key(&self.scope);
         let expect = seen.revision.map_or(Expect::Absent, |revision| Expect::Revision { revision });
         let ttl_ms = u64::try_from(self.times.ttl.as_millis()).unwrap_or(u64::MAX);
-        let value = Value { holder, incarnation: self.incarnation, epoch, ttl_ms };
+        let value = Value { holder, incarnation: self.incarnation, epoch, ttl_ms, ordering };
         let value = serde_json::to_value(value).ok();
         Transaction {
             token,
@@ -170,7 +193,7 @@
         (self.holding, self.attempt, self.stale) = (None, None, true);
         let seen = self.seen.take()?;
         let value = seen.value.as_ref().filter(|value| self.is_mine(value))?;
-        Some((value.epoch, self.transaction(&seen, token, value.epoch, None)))
+        Some((value.epoch, self.transaction(&seen, token, value.epoch, None, false)))
     }
 
     /// The write committed with `revision`.
@@ -181,6 +204,7 @@
             incarnation: self.incarnation,
             epoch: attempt.holding.epoch,
             ttl_ms: u64::try_from(self.times.ttl.as_millis()).unwrap_or(u64::MAX),
+            ordering: attempt.holding.orders_from <= attempt.holding.deadline,
         };
         self.seen = Some(Seen { revision: Some(revision), value: Some(value), since: now });
         self.adopt(&attempt);
--- a/components/cluster/src/lease/mod.rs
+++ b/components/cluster/src/lease/mod.rs
@@ -52,6 +52,9 @@
     pub epoch: u64,
     /// Time in milliseconds for which the row must be unchanged before it may be taken.
     pub ttl_ms: u64,
+    /// Whether the holder may have given orders already.
+    #[serde(default)]
+    pub ordering: bool,
 }
 
 /// Lease that is held.
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -18,6 +18,8 @@
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(700);
 /// Silence after which an owner counts as gone: three renewals.
 pub const SILENCE: Duration = Duration::from_millis(2_200);
+/// Time after which a row that names this process, though it runs no such batch, is taken up.
+const LOST_ANSWER: Duration = Duration::from_millis(400);
 /// Time over which candidates spread, so that few of them meet.
 const SPREAD: Duration = Duration::from_millis(400);
 
@@ -96,10 +98,14 @@
 
     /// Notes the row of a batch; returns whether it is news.
     pub fn note(&mut self, batch: &str, meta: Meta, version: u64, now: Instant) -> bool {
-        if self.batches.get(batch).is_some_and(|known| known.version >= version) {
+        let before = self.batches.get(batch);
+        if before.is_some_and(|known| known.version >= version) {
             return false;
         }
-        let known = Known { meta, version, seen: now, gone: None, claiming: false };
+        // A claim of this VM goes on until its rows are read.
+        let claiming = before.is_some_and(|known| known.claiming)
+            && meta.owner.as_ref() == Some(&self.me);
+        let known = Known { meta, version, seen: now, gone: None, claiming };
         self.batches.insert(batch.to_owned(), known);
         true
     }
@@ -127,10 +133,11 @@
         }
     }
 
-    /// Batches to claim now. `steady_since` is when this VM's feed last began to be steady.
+    /// Batches to claim now. The store has answered without interruption from `steady.0` on, last
+    /// at `steady.1`.
     pub fn due(
         &mut self,
-        steady_since: Instant,
+        steady: (Instant, Instant),
         now: Instant,
         runs_here: impl Fn(&str) -> bool,
     ) -> Vec<(String, Meta, u64)> {
@@ -140,7 +147,7 @@
             if closed || known.claiming || runs_here(batch) {
                 continue;
             }
-            if !is_gone(&known.meta, known.seen, &self.vms, &self.me, steady_since, now) {
+            if !is_gone(known, &self.vms, &self.me, steady, now) {
                 known.gone = None;
                 continue;
             }
@@ -174,27 +181,28 @@
 }
 
 fn is_gone(
-    meta: &Meta,
-    seen: Instant,
+    known: &Known,
     vms: &HashMap<String, Sign>,
     me: &Owner,
-    steady_since: Instant,
+    (steady_since, answered): (Instant, Instant),
     now: Instant,
 ) -> bool {
-    let Some(owner) = &meta.owner else { return true };
+    let seen = known.seen;
+    let Some(owner) = &known.meta.owner else { return true };
     if owner == me {
         // A commit whose answer was lost; the task takes it up like any other claim.
-        return now.since(seen) >= Duration::from_millis(300);
+        return now.since(seen) >= LOST_ANSWER;
     }
     if owner.vm == me.vm {
         return true;
     }
-    let renewal = vms.get(&owner.vm);
-    if renewal.is_some_and(|row| row.incarnation != owner.incarnation && row.seen > seen) {
+    let sign = vms.get(&owner.vm);
+    if sign.is_some_and(|row| row.incarnation != owner.incarnation && row.seen > seen) {
         return true;
     }
-    let heard = renewal.map_or(seen, |row| row.seen.max(seen)).max(steady_since);
-    now.since(heard) >= SILENCE
+    let heard = sign.map_or(seen, |row| row.seen.max(seen)).max(steady_since);
+    // Silence counts up to the store's last answer only: it may itself have fallen silent.
+    answered.since(heard) >= SILENCE
 }
 
 /// Time for which a candidate waits: none for the VM whose own process was replaced.
@@ -217,6 +225,9 @@
     meta: Meta,
     version: u64,
 ) -> Result<Adoption, Fault> {
+    if meta.owner.as_ref() == Some(me) {
+        return load(store, batch, meta, version).await;
+    }
     let meta = Meta { owner: Some(me.clone()), epoch: meta.epoch + 1, ..meta };
     let transaction = Transaction {
         checks: vec![(rows::meta(batch), version)],
--- a/components/entry/src/batch/task.rs
+++ b/components/entry/src/batch/task.rs
@@ -9,7 +9,7 @@
     arena::{Arena, Key as Handle},
 };
 use filbertsail_ports::store::{
-    Commit, Fault, Key, MAX_VALUE_BYTES, Row, Store, Transaction,
+    Commit, Fault, Key, MAX_ENTRIES, MAX_VALUE_BYTES, Row, Store, Transaction,
 };
 use filbertsail_telemetry::event::Line;
 use rand::RngExt;
@@ -41,7 +41,7 @@
 /// Pause before a store call is repeated.
 const STORE_RETRY: Duration = Duration::from_millis(150);
 /// Most results in one transaction.
-const MAX_RESULTS: usize = 80;
+const MAX_RESULTS: usize = 60;
 /// Most bytes of results in one transaction.
 const MAX_RESULT_BYTES: usize = 600 * 1024;
 /// Events after which the output of an unfinished item is stored again: about a second of work.
@@ -811,9 +811,11 @@
             return;
         }
         let link = *self.shared.link.borrow();
-        let (None, Some(steady_since)) = (link.lost, link.regained) else { return };
+        let (None, Some(since), Some((_, answered))) = (link.lost, link.regained, link.clock) else {
+            return;
+        };
         let names = &self.names;
-        let due = self.register.due(steady_since, now, |batch| names.contains_key(batch));
+        let due = self.register.due((since, answered), now, |batch| names.contains_key(batch));
         for (batch, meta, version) in due {
             Line::new("batch_claimed")
                 .with("batch", &batch)
@@ -957,7 +959,12 @@
     }
     let checks =
         vec![(rows::meta(batch), run.version), (rows::result(batch, storing.first, 0), 0)];
-    Some(Transaction { checks, writes, deletes: Vec::new() })
+    // A listed item needs its saved output no more.
+    let saved = storing.results.iter().filter_map(|listed| run.index(&listed.id));
+    let saved = saved.filter(|item| run.slots[*item].saved > 0);
+    let room = MAX_ENTRIES.saturating_sub(checks.len() + writes.len());
+    let deletes = saved.take(room).map(|item| rows::partial(batch, item)).collect();
+    Some(Transaction { checks, writes, deletes })
 }
 
 /// Stores what is known of a batch and gives it up.
