--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -107,7 +107,8 @@
 
     fn request<D: Dialect>(&self, last_event: Option<u64>) -> Option<Request<Body>> {
         let body = Body::full(self.body.clone());
-        let mut request = Request::builder().method(Method::POST).uri(&self.path).body(body).ok()?;
+        let mut request =
+            Request::builder().method(Method::POST).uri(&self.path).body(body).ok()?;
         let headers = request.headers_mut();
         *headers = D::item_headers(&self.id, &self.host, &self.headers);
         let dispatch = Dispatch {
@@ -173,7 +174,7 @@
             parser.push(&bytes);
             let now = shared.now();
             loop {
-                let event = match parser.next() {
+                let event = match parser.take() {
                     Ok(Some(event)) => event,
                     Ok(None) => break,
                     Err(error) => return Finish::Broken(error.to_string()),
--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use filbertsail_clock::Instant;
 use filbertsail_http::Body;
-use filbertsail_ports::store::{Fault, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Range, Store, Transaction};
+use filbertsail_ports::store::{
+    Fault, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Range, Store, Transaction,
+};
 use filbertsail_telemetry::event::Line;
 use http::{Response, StatusCode};
 use tokio::{
@@ -197,9 +199,9 @@
                 Ok(commit) => return Ok(Some(commit.version)),
                 Err(Fault::Conflict(present)) => {
                     let row = present.into_iter().find(|row| row.key == batch);
-                    let meta = row.as_ref().and_then(|row| {
-                        rows::decode::<Meta>(row.value.as_deref()?).ok()
-                    });
+                    let meta = row
+                        .as_ref()
+                        .and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
                     // A commit of this very call whose answer was lost.
                     let mine = meta.is_some_and(|meta| {
                         meta.epoch == 1 && meta.owner.as_ref() == Some(me) && unknown
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -11,8 +11,8 @@
 pub mod plan;
 pub mod rows;
 pub mod run;
-pub mod task;
 pub mod takeover;
+pub mod task;
 
 use serde::{Deserialize, Serialize};
 
--- a/components/entry/src/batch/run.rs
+++ b/components/entry/src/batch/run.rs
@@ -33,7 +33,6 @@
     }
 
     /// Progress so far.
-    #[must_use]
     pub fn lock(&self) -> MutexGuard<'_, Progress> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -103,8 +103,8 @@
             return false;
         }
         // A claim of this VM goes on until its rows are read.
-        let claiming = before.is_some_and(|known| known.claiming)
-            && meta.owner.as_ref() == Some(&self.me);
+        let claiming =
+            before.is_some_and(|known| known.claiming) && meta.owner.as_ref() == Some(&self.me);
         let known = Known { meta, version, seen: now, gone: None, claiming };
         self.batches.insert(batch.to_owned(), known);
         true
--- /dev/null
+++ b/components/entry/src/batch/task/mod.rs
@@ -0,0 +1,238 @@
+//! Task that owns the batches of this VM.
+
+mod handover;
+mod items;
+mod ownership;
+mod results;
+
+use std::time::Duration;
+
+use filbertsail_clock::Instant;
+use filbertsail_collections::{
+    HashMap,
+    arena::{Arena, Key as Handle},
+};
+use filbertsail_ports::store::{Commit, Fault, Store};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+use super::{
+    Owner,
+    attempt::Finish,
+    board::Boards,
+    rows,
+    run::Run,
+    takeover::{Adoption, RENEW_INTERVAL, Register},
+};
+use crate::{
+    config::{Config, Engine},
+    dialect::Dialect,
+    follow::{self, News},
+    shared::Shared,
+};
+
+/// Time for which finished items wait for others to share a transaction.
+const STORE_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between two looks at slow runs and lost owners.
+const TICK: Duration = Duration::from_millis(250);
+/// Pause before a store call is repeated.
+const STORE_RETRY: Duration = Duration::from_millis(150);
+/// Most results in one transaction.
+const MAX_RESULTS: usize = 60;
+
+/// Message to the task.
+#[derive(Debug)]
+pub enum Command {
+    /// A batch is owned by this VM.
+    Adopt(Box<Adoption>),
+    /// A claim failed.
+    Unclaimed(String),
+    /// The caller has ended a batch.
+    End(String),
+    /// A run of an item ended.
+    Finished {
+        /// Batch.
+        run: Handle<Run>,
+        /// Item.
+        item: usize,
+        /// Attempt.
+        attempt: u64,
+        /// How it ended.
+        finish: Finish,
+    },
+    /// A transaction with results ended.
+    Stored {
+        /// Batch.
+        run: Handle<Run>,
+        /// Result of the transaction.
+        result: Result<Commit, Fault>,
+    },
+    /// Owners' rows changed.
+    News(News),
+    /// Unfinished outputs were stored, or not.
+    Saved {
+        /// Batch.
+        run: Handle<Run>,
+        /// Items with the events that were stored.
+        items: Vec<(usize, u32)>,
+    },
+    /// Hands all batches over to other VMs.
+    HandOver(oneshot::Sender<()>),
+}
+
+/// Task of one daemon.
+pub struct Task<D, S> {
+    shared: Shared,
+    store: S,
+    boards: Boards,
+    me: Owner,
+    commands: mpsc::UnboundedSender<Command>,
+    runs: Arena<Run>,
+    names: HashMap<String, Handle<Run>>,
+    register: Register,
+    attempts: u64,
+    renewed: Option<Instant>,
+    ticked: Instant,
+    stored: Instant,
+    cleaned: Instant,
+    leaving: bool,
+    dialect: std::marker::PhantomData<D>,
+}
+
+/// Starts the task; returns the way to it.
+pub fn start<D: Dialect, S: Store>(
+    shared: Shared,
+    store: S,
+    boards: Boards,
+) -> mpsc::UnboundedSender<Command> {
+    let (commands, receiver) = mpsc::unbounded_channel();
+    let identity = &shared.identity;
+    let me = Owner { vm: identity.vm.clone(), incarnation: identity.incarnation };
+    let task = Task::<D, S> {
+        shared: shared.clone(),
+        store: store.clone(),
+        boards,
+        register: Register::new(me.clone()),
+        me,
+        commands: commands.clone(),
+        runs: Arena::default(),
+        names: HashMap::default(),
+        attempts: 0,
+        renewed: None,
+        ticked: Instant::default(),
+        stored: Instant::default(),
+        cleaned: Instant::default(),
+        leaving: false,
+        dialect: std::marker::PhantomData,
+    };
+    tokio::spawn(task.run(receiver));
+    let sender = commands.clone();
+    tokio::spawn(async move {
+        let table = follow::Table {
+            name: rows::BATCHES,
+            parts: rows::parts(),
+            watches_link: false,
+            pause: Duration::from_millis(20),
+            wait: follow::WAIT,
+        };
+        // The task lives as long as the process.
+        follow::follow(shared, store, table, move |news| {
+            let _ = sender.send(Command::News(news));
+        })
+        .await;
+    });
+    commands
+}
+
+impl<D: Dialect, S: Store> Task<D, S> {
+    async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        let mut fleet_changed = self.shared.fleet_changed.subscribe();
+        let mut config_changed = self.shared.config.subscribe();
+        loop {
+            let pause = if self.runs.is_empty() { TICK } else { STORE_INTERVAL };
+            tokio::select! {
+                command = commands.recv() => {
+                    let Some(command) = command else { return };
+                    self.handle(command);
+                    while let Ok(command) = commands.try_recv() {
+                        self.handle(command);
+                    }
+                }
+                _ = fleet_changed.changed() => {}
+                _ = config_changed.changed() => {}
+                () = sleep(pause) => {}
+            }
+            let now = self.shared.now();
+            if now.since(self.stored) >= STORE_INTERVAL {
+                self.stored = now;
+                self.store_all();
+            }
+            if now.since(self.ticked) >= TICK {
+                self.ticked = now;
+                self.tick(now);
+            }
+            self.dispatch(now);
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Adopt(adoption) => self.adopt(*adoption),
+            Command::Unclaimed(batch) => self.register.unclaimed(&batch),
+            Command::End(batch) => self.end(&batch),
+            Command::Finished { run, item, attempt, finish } => {
+                self.finished(run, item, attempt, finish);
+            }
+            Command::Stored { run, result } => self.stored(run, result),
+            Command::Saved { run, items } => self.saved(run, &items),
+            Command::News(news) => self.news(news),
+            Command::HandOver(done) => self.hand_over(done),
+        }
+    }
+
+    fn named(&self, key: Handle<Run>) -> Option<(String, &Run)> {
+        let (batch, _) = self.names.iter().find(|(_, other)| **other == key)?;
+        Some((batch.clone(), self.runs.get(key)?))
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if self.leaving {
+            return;
+        }
+        if !self.runs.is_empty() && self.renewed.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
+            self.renew(now);
+        }
+        self.give_up(now);
+        self.move_slow(now);
+        self.save_outputs();
+        self.drop_complete(now);
+        self.claim(now);
+        self.clean(now);
+    }
+
+    /// Frees the memory of batches that are complete and whose caller does not come back.
+    fn drop_complete(&mut self, now: Instant) {
+        let retention = self.shared.times.retention;
+        let old: Vec<String> = self
+            .names
+            .iter()
+            .filter(|(_, key)| {
+                self.runs
+                    .get(**key)
+                    .is_some_and(|run| run.is_listed() && now.since(run.accepted) > retention)
+            })
+            .map(|(batch, _)| batch.clone())
+            .collect();
+        for batch in old {
+            self.drop_run(&batch);
+        }
+    }
+}
+
+/// Engine of a service; one without stated properties takes any number of items.
+fn engine(config: &Config, service: &str) -> Engine {
+    let engine = config.services.get(service).and_then(|service| service.engine.clone());
+    engine.unwrap_or(Engine { slots: 1, kv_tokens: u64::MAX / 2, stride: 1, models: Vec::new() })
+}
--- /dev/null
+++ b/components/entry/src/batch/task/ownership.rs
@@ -0,0 +1,276 @@
+//! Batches that come and go, and the owners' rows that say so.
+
+use std::{sync::Arc, time::Duration};
+
+use filbertsail_clock::Instant;
+use filbertsail_collections::arena::Key as Handle;
+use filbertsail_ports::store::{Key, Row, Store, Transaction};
+use filbertsail_telemetry::event::Line;
+use tokio::time::sleep;
+
+use super::{Command, MAX_RESULTS, STORE_RETRY, Task};
+use crate::{
+    batch::{
+        Meta, rows,
+        run::{Phase, Run},
+        takeover::{self, Adoption, Renewal},
+    },
+    dialect::Dialect,
+    fleet::End,
+    follow::News,
+    shared::millis,
+};
+
+/// Time kept beyond the retention before rows are deleted.
+const RETENTION_SLACK: Duration = Duration::from_secs(30);
+
+impl<D: Dialect, S: Store> Task<D, S> {
+    pub(super) fn adopt(&mut self, adoption: Adoption) {
+        let now = self.shared.now();
+        let Adoption { batch, meta, version, submission, listed, partials } = adoption;
+        if self.names.contains_key(&batch) {
+            return;
+        }
+        self.register.note(&batch, meta.clone(), version, now);
+        if self.leaving || meta.ended {
+            return self.register.unclaimed(&batch);
+        }
+        let accepted = self.shared.link.borrow().local(meta.accepted_ms, now);
+        Line::new("batch_owned")
+            .with("batch", &batch)
+            .with("step", submission.step)
+            .with("model", &submission.model)
+            .with("min_version", submission.min_version)
+            .with("epoch", meta.epoch)
+            .with("row_version", version)
+            .with("items", submission.items.len())
+            .with("groups", submission.groups.len())
+            .with("wanted", submission.wanted)
+            .with("listed", listed.len())
+            .with("partials", partials.len())
+            .with("age_ms", now.since(accepted).as_millis())
+            .info();
+        self.boards.set_meta(&batch, Some(meta.clone()));
+        let mut run = Run::new(meta, version, submission, accepted, listed, partials);
+        run.want_groups(|group| self.register.is_carried(&batch, rows::hash32(group)));
+        self.boards.insert(&batch, Arc::clone(&run.board));
+        let key = self.runs.insert(run);
+        self.names.insert(batch, key);
+        self.renew(now);
+    }
+
+    pub(super) fn end(&mut self, batch: &str) {
+        let Some(key) = self.names.get(batch).copied() else { return };
+        if let Some(run) = self.runs.get(key) {
+            Line::new("batch_ended")
+                .with("batch", batch)
+                .with("listed", run.stored)
+                .with("open_items", run.open_items())
+                .info();
+        }
+        self.drop_run(batch);
+    }
+
+    /// Stops to run a batch; readers are served from the store.
+    pub(super) fn drop_run(&mut self, batch: &str) {
+        let Some(key) = self.names.remove(batch) else { return };
+        self.boards.remove(batch);
+        self.register.unclaimed(batch);
+        let Some(mut run) = self.runs.remove(key) else { return };
+        self.abort_all(&mut run);
+    }
+
+    pub(super) fn abort_all(&self, run: &mut Run) {
+        let now = self.shared.now();
+        for slot in &mut run.slots {
+            if let Phase::Running(running) = &slot.phase {
+                running.abort.abort();
+                let (worker, tokens) = (running.worker, running.tokens);
+                self.shared.fleet().finished(worker, tokens, End::Abandoned, now, 0.0);
+                slot.phase = Phase::Waiting(now);
+            }
+        }
+    }
+
+    pub(super) fn news(&mut self, news: News) {
+        let now = self.shared.now();
+        let (News::Snapshot(rows) | News::Changes(rows)) = news;
+        for row in rows {
+            if row.part == rows::VM_PART {
+                self.vm_row(&row, now);
+            } else {
+                self.batch_row(&row, now);
+            }
+        }
+        if self.register.must_announce() && !self.leaving {
+            self.renew(now);
+        }
+    }
+
+    pub(super) fn vm_row(&mut self, row: &Row, now: Instant) {
+        let Some(value) = &row.value else { return };
+        let renewal: Renewal = match rows::decode(value) {
+            Ok(renewal) => renewal,
+            Err(error) => {
+                Line::new("row_corrupt").with("vm", &row.key).with("reason", error).error();
+                return;
+            }
+        };
+        self.register.renewed(&row.key, renewal.incarnation, now);
+        if row.key != self.me.vm {
+            self.shared.fleet().heard(rows::hash32(&row.key), &renewal.workers, now);
+        }
+    }
+
+    pub(super) fn batch_row(&mut self, row: &Row, now: Instant) {
+        let batch = row.key.as_str();
+        let Some(value) = &row.value else {
+            self.register.forget(batch);
+            self.boards.set_meta(batch, None);
+            return;
+        };
+        let meta: Meta = match rows::decode(value) {
+            Ok(meta) => meta,
+            Err(error) => {
+                Line::new("row_corrupt").with("batch", batch).with("reason", error).error();
+                return;
+            }
+        };
+        if !self.register.note(batch, meta.clone(), row.version, now) {
+            return;
+        }
+        if let Some(lag) = meta.lag.filter(|_| !meta.ended) {
+            self.shared.lags.send_modify(|lags| {
+                lags.insert(meta.model.clone(), lag);
+            });
+        }
+        self.boards.set_meta(batch, Some(meta.clone()));
+        if let Some(key) = self.names.get(batch).copied() {
+            self.owned_row(batch, key, meta, row.version);
+        }
+    }
+
+    /// The owner's row of a batch that runs here has changed.
+    pub(super) fn owned_row(&mut self, batch: &str, key: Handle<Run>, meta: Meta, version: u64) {
+        if meta.owner.as_ref() != Some(&self.me) {
+            Line::new("batch_lost")
+                .with("batch", batch)
+                .with("epoch", meta.epoch)
+                .with("row_version", version)
+                .warn();
+            return self.drop_run(batch);
+        }
+        if meta.ended {
+            return self.end(batch);
+        }
+        if let Some(run) = self.runs.get_mut(key)
+            && version > run.version
+        {
+            (run.meta, run.version) = (meta, version);
+        }
+    }
+
+    pub(super) fn renew(&mut self, now: Instant) {
+        self.renewed = Some(now);
+        let renewal = Renewal {
+            incarnation: self.me.incarnation,
+            number: now.as_micros(),
+            workers: self.shared.fleet().sights(),
+        };
+        let value = rows::encode(&renewal);
+        let transaction =
+            Transaction { writes: vec![(rows::vm(&self.me.vm), value)], ..Transaction::default() };
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            if let Err(fault) = store.transact(transaction).await {
+                Line::new("renewal_failed").with("reason", fault).warn();
+            }
+        });
+    }
+
+    pub(super) fn claim(&mut self, now: Instant) {
+        if !self.shared.is_ready() {
+            return;
+        }
+        let link = *self.shared.link.borrow();
+        let (None, Some(since), Some((_, answered))) = (link.lost, link.regained, link.clock)
+        else {
+            return;
+        };
+        let names = &self.names;
+        let due = self.register.due((since, answered), now, |batch| names.contains_key(batch));
+        for (batch, meta, version) in due {
+            Line::new("batch_claimed")
+                .with("batch", &batch)
+                .with("row_version", version)
+                .with("epoch", meta.epoch)
+                .with("owner", meta.owner.as_ref().map_or("none", |owner| owner.vm.as_str()))
+                .info();
+            let (store, commands, me) =
+                (self.store.clone(), self.commands.clone(), self.me.clone());
+            tokio::spawn(async move {
+                let claimed = takeover::claim(&store, &me, &batch, meta, version).await;
+                // The task lives as long as the process.
+                let _ = match claimed {
+                    Ok(adoption) => commands.send(Command::Adopt(Box::new(adoption))),
+                    Err(fault) => {
+                        Line::new("claim_failed")
+                            .with("batch", &batch)
+                            .with("reason", fault)
+                            .info();
+                        sleep(STORE_RETRY).await;
+                        commands.send(Command::Unclaimed(batch))
+                    }
+                };
+            });
+        }
+    }
+
+    /// Deletes the rows of batches that nobody may ask for any more.
+    pub(super) fn clean(&mut self, now: Instant) {
+        const CLEAN_INTERVAL: Duration = Duration::from_secs(20);
+        if now.since(self.cleaned) < CLEAN_INTERVAL {
+            return;
+        }
+        self.cleaned = now;
+        let retention = millis(self.shared.times.retention + RETENTION_SLACK);
+        let store_ms = self.shared.link.borrow().store_ms(now);
+        for (batch, meta, version) in self.register.outdated(store_ms, retention) {
+            // The VM that last owned it deletes it; after as long again, any VM does.
+            let old = store_ms > meta.accepted_ms + 2 * retention;
+            let mine = meta.owner.as_ref().is_some_and(|owner| owner.vm == self.me.vm);
+            if mine || old {
+                let store = self.store.clone();
+                tokio::spawn(async move { delete(&store, &batch, &meta, version).await });
+            }
+        }
+    }
+}
+
+/// Deletes all rows of a batch, the owner's row last.
+async fn delete<S: Store>(store: &S, batch: &str, meta: &Meta, version: u64) {
+    let ranges = [
+        (rows::BODIES, rows::bodies(batch, &meta.writer)),
+        (rows::RESULTS, rows::results(batch, 0)),
+        (rows::PARTIALS, rows::partials(batch)),
+    ];
+    let mut keys = Vec::new();
+    for (table, range) in ranges {
+        let Ok(found) = takeover::read(store, range).await else { return };
+        keys.extend(found.into_iter().map(|row| Key { table, part: row.part, key: row.key }));
+    }
+    keys.push(rows::meta(batch));
+    for part in keys.chunks(MAX_RESULTS) {
+        let transaction = Transaction {
+            checks: vec![(rows::meta(batch), version)],
+            writes: Vec::new(),
+            deletes: part.to_vec(),
+        };
+        if let Err(fault) = store.transact(transaction).await {
+            // The next round deletes what is left.
+            Line::new("cleaning_failed").with("batch", batch).with("reason", fault).info();
+            return;
+        }
+    }
+    Line::new("batch_deleted").with("batch", batch).info();
+}
--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -70,7 +70,10 @@
         if route.kind == Kind::Batch {
             let batch = caller.id.as_ref().and_then(|id| id.to_str().ok());
             let (Some(batch), &Method::POST) = (batch, &head.method) else {
-                return reply::json(StatusCode::BAD_REQUEST, "a batch is posted with an identifier");
+                return reply::json(
+                    StatusCode::BAD_REQUEST,
+                    "a batch is posted with an identifier",
+                );
             };
             return self.calls.submit::<D>(batch, &host, &body).await;
         }
--- a/components/entry/src/event/mod.rs
+++ b/components/entry/src/event/mod.rs
@@ -56,7 +56,7 @@
     ///
     /// # Errors
     /// Fails if the bytes are no event.
-    pub fn next(&mut self) -> Result<Option<Event>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<Event>, Malformed> {
         loop {
             let Some(end) = self.end() else {
                 let too_long = self.buffer.len() > MAX_EVENT_BYTES;
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -219,9 +219,8 @@
 
     /// Removes workers whose entry lapsed and did not come back; returns their identifiers.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
-        let expired = |worker: &Worker| {
-            worker.lapsed.is_some_and(|lapsed| now.since(lapsed) >= LAPSE_GRACE)
-        };
+        let expired =
+            |worker: &Worker| worker.lapsed.is_some_and(|lapsed| now.since(lapsed) >= LAPSE_GRACE);
         let ids: Vec<String> = self
             .workers
             .iter()
--- a/components/entry/src/fleet/plain.rs
+++ b/components/entry/src/fleet/plain.rs
@@ -29,12 +29,7 @@
 
 impl Fleet {
     /// Worker for a request; one that does not look usable only if no other is left.
-    pub fn choose<R: Rng>(
-        &self,
-        wish: Wish<'_>,
-        now: Instant,
-        rng: &mut R,
-    ) -> Option<Key<Worker>> {
+    pub fn choose<R: Rng>(&self, wish: Wish<'_>, now: Instant, rng: &mut R) -> Option<Key<Worker>> {
         let fresh = |key: &Key<Worker>| !wish.tried.contains(key);
         let mut best: Option<(f64, Key<Worker>)> = None;
         for (key, worker) in self.of(wish.service).filter(|(key, _)| fresh(key)) {
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -179,7 +179,11 @@
     head.headers.remove(http::header::CONTENT_LENGTH);
     let failed = head.status.is_server_error();
     let response = Response::from_parts(head, Body::full(body.to_bytes()));
-    if failed { (Finish::Error(response), End::Failure) } else { (Finish::Answer(response), End::Success) }
+    if failed {
+        (Finish::Error(response), End::Failure)
+    } else {
+        (Finish::Answer(response), End::Success)
+    }
 }
 
 /// Judges the head of an answer; nothing if its body may be passed on.
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -203,7 +203,7 @@
             };
             parser.push(&bytes);
             loop {
-                match parser.next() {
+                match parser.take() {
                     Ok(Some(event)) => {
                         let follows = match (*last_event, event.id) {
                             (Some(last), Some(id)) => id == last + 1,
--- a/components/entry/src/relay/call.rs
+++ b/components/entry/src/relay/call.rs
@@ -129,8 +129,10 @@
         let unknown_table = || Answer::Unavailable("unknown table".to_owned());
         match call {
             Call::Transact { checks, writes, deletes } => {
-                let checks = checks.into_iter().map(|(key, version)| Some((self.key(key)?, version)));
-                let writes = writes.into_iter().map(|(key, value)| Some((self.key(key)?, value.into())));
+                let checks =
+                    checks.into_iter().map(|(key, version)| Some((self.key(key)?, version)));
+                let writes =
+                    writes.into_iter().map(|(key, value)| Some((self.key(key)?, value.into())));
                 let deletes = deletes.into_iter().map(|key| self.key(key));
                 let (Some(checks), Some(writes), Some(deletes)) =
                     (checks.collect(), writes.collect(), deletes.collect())
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -112,8 +112,7 @@
     #[must_use]
     pub fn candidates(&self, now: Instant) -> Vec<Peer> {
         let peers = self.lock();
-        let usable =
-            |peer: &&Peer| now >= peer.paused_until && now.since(peer.seen) < STALE_AFTER;
+        let usable = |peer: &&Peer| now >= peer.paused_until && now.since(peer.seen) < STALE_AFTER;
         let mut found: Vec<&Peer> = peers.values().filter(usable).collect();
         // The one that answered last comes first, since its connection is open.
         found.sort_by_key(|peer| (peer.paused_until, rows::hash(&peer.name)));
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -119,7 +119,6 @@
     }
 
     /// Workers; held only for the length of a decision, never across an await.
-    #[must_use]
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/entry/src/weights/lease.rs
+++ b/components/entry/src/weights/lease.rs
@@ -42,9 +42,8 @@
     /// Contends for `scope`.
     pub fn new(shared: Shared, store: S, scope: String) -> Self {
         let times = Times { ttl: TTL, order_life: shared.times.order_gap };
-        let machine =
-            Machine::new(&scope, &shared.identity.vm, shared.identity.incarnation, times)
-                .succeeding();
+        let machine = Machine::new(&scope, &shared.identity.vm, shared.identity.incarnation, times)
+            .succeeding();
         Self { shared, store, machine, scope, attempts: 0, held: None }
     }
 
--- a/components/entry/src/weights/plan.rs
+++ b/components/entry/src/weights/plan.rs
@@ -215,8 +215,7 @@
             .filter(|view| !self.serves(view, target))
             .collect();
         order.sort_by_key(|view| {
-            let behind =
-                view.version(&target.model).map_or(0, |version| target.version - version);
+            let behind = view.version(&target.model).map_or(0, |version| target.version - version);
             // With a lag those one version behind still serve; without, they are the ones to renew.
             let last = if lags { behind == 1 } else { behind > 1 };
             let hosted = targets.iter().filter(|other| hosts(view, other)).count();
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -224,8 +224,7 @@
     let request = request.map(Body::full);
     let exchange = async {
         let now = shared.now();
-        let (response, channel) =
-            shared.pool.send(address, request, !is_order, now).await.ok()?;
+        let (response, channel) = shared.pool.send(address, request, !is_order, now).await.ok()?;
         let (head, body) = response.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let keep_alive = D::answer(&head.headers).keep_alive;
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -119,8 +119,7 @@
     round(&mut director, &views, &targets(2, 1), 0);
     round(&mut director, &views, &targets(2, 1), 100);
     let looks = director.plan(&views, &targets(2, 1), at(1_100));
-    let reply =
-        Reply::Report(Report { models: Vec::new(), busy: false, orders: 0, born: Some(7) });
+    let reply = Reply::Report(Report { models: Vec::new(), busy: false, orders: 0, born: Some(7) });
     director.note(&Asked { action: looks[0].clone(), reply }, at(1_110));
     let again = director.plan(&views, &targets(2, 1), at(1_200));
     assert!(matches!(again.as_slice(), [Action::Order { expected: 0, .. }]), "{again:?}");
@@ -147,9 +146,8 @@
 fn can_load_versions_in_turn_where_steps_may_lag() {
     let mut fleet = fleet(8);
     let mut director = Director::default();
-    let mut named = |version| {
-        settle(&mut director, &mut fleet, &[target("m", version, 1)], version * 100_000)
-    };
+    let mut named =
+        |version| settle(&mut director, &mut fleet, &[target("m", version, 1)], version * 100_000);
     assert_eq!(named(2), [1, 1, 1, 1, 2, 2, 2, 2]);
     assert_eq!(named(3), [2, 2, 2, 2, 3, 3, 3, 3]);
     assert_eq!(named(4), [3, 3, 3, 3, 4, 4, 4, 4]);
--- a/components/ports/src/store/fake.rs
+++ b/components/ports/src/store/fake.rs
@@ -118,10 +118,9 @@
     }
 
     fn conflicts(&self, transaction: &Transaction) -> Vec<Row> {
-        let holds = transaction
-            .checks
-            .iter()
-            .all(|(key, version)| self.rows.get(key).map_or(0, |(_, version)| *version) == *version);
+        let holds = transaction.checks.iter().all(|(key, version)| {
+            self.rows.get(key).map_or(0, |(_, version)| *version) == *version
+        });
         if holds {
             return Vec::new();
         }
@@ -169,8 +168,12 @@
 
     async fn parts(&self, table: &'static str) -> Result<Vec<String>, Fault> {
         let state = self.up()?;
-        let mut parts: Vec<String> =
-            state.rows.keys().filter(|key| key.table == table).map(|key| key.part.clone()).collect();
+        let mut parts: Vec<String> = state
+            .rows
+            .keys()
+            .filter(|key| key.table == table)
+            .map(|key| key.part.clone())
+            .collect();
         parts.dedup();
         Ok(parts)
     }
--- a/components/ports/src/store/mod.rs
+++ b/components/ports/src/store/mod.rs
@@ -129,7 +129,8 @@
     ///
     /// # Errors
     /// Fails with [`Fault::Unavailable`].
-    fn parts(&self, table: &'static str) -> impl Future<Output = Result<Vec<String>, Fault>> + Send;
+    fn parts(&self, table: &'static str)
+    -> impl Future<Output = Result<Vec<String>, Fault>> + Send;
 
     /// Changes of a table after `version`, as soon as there is one, or none after `wait`.
     ///
--- a/components/telemetry/src/sink/mod.rs
+++ b/components/telemetry/src/sink/mod.rs
@@ -19,8 +19,9 @@
 #[derive(Debug, Default)]
 struct Buffer {
     bytes: Vec<u8>,
+    /// Lines dropped and not yet reported.
+    unreported: u64,
     dropped: u64,
-    total_dropped: u64,
     busy: bool,
 }
 
@@ -53,7 +54,7 @@
     /// Lines dropped since the start.
     #[must_use]
     pub fn dropped(&self) -> u64 {
-        self.shared.lock().total_dropped
+        self.shared.lock().dropped
     }
 
     /// Waits until the lines written so far are out, or `limit` is over.
@@ -91,8 +92,8 @@
     fn push(&self, line: &[u8]) {
         let mut buffer = self.lock();
         if buffer.bytes.len() + line.len() > CAPACITY {
+            buffer.unreported += 1;
             buffer.dropped += 1;
-            buffer.total_dropped += 1;
             return;
         }
         let was_empty = buffer.bytes.is_empty();
@@ -132,6 +133,6 @@
         bytes.clear();
         std::mem::swap(&mut buffer.bytes, bytes);
         buffer.busy = true;
-        std::mem::take(&mut buffer.dropped)
+        std::mem::take(&mut buffer.unreported)
     }
 }
