--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -72,10 +72,12 @@
                 continue;
             }
         };
+        let mut wait = table.wait;
         loop {
-            match store.changes(table.name, version, table.wait).await {
+            match store.changes(table.name, version, wait).await {
                 Ok(page) => {
                     backoff = RETRY;
+                    wait = table.wait;
                     answered(&shared, &table, &page);
                     version = page.version.max(version);
                     if !page.rows.is_empty() {
@@ -89,6 +91,8 @@
                 }
                 Err(fault) => {
                     failed(&shared, &table, &fault, &mut backoff).await;
+                    // The store's return shows at once, not only with its next change.
+                    wait = Duration::ZERO;
                 }
             }
         }
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -94,23 +94,16 @@
     left: Duration,
 ) -> Finish {
     let now = shared.now();
-    let entry = {
-        let mut fleet = shared.fleet();
-        let Some(entry) = fleet.get(worker).map(|worker| worker.entry.clone()) else {
-            return failed(Verdict::NotRun, "worker gone");
-        };
-        fleet.sent(worker, 0, now);
-        entry
+    let Some((entry, mut flight)) = Flight::start(shared, worker) else {
+        return failed(Verdict::NotRun, "worker gone");
     };
-    // Dropped without an end when the caller leaves.
-    let mut guard = Guard { shared, worker, end: End::Abandoned };
     let exchange = exchange::<D>(shared, &entry, job, repeatable, left);
     let (finish, end) = match timeout(limit, exchange).await {
         Ok(done) => done,
         Err(_) => (failed(Verdict::MayHaveRun, "no answer in time"), End::Failure),
     };
-    guard.end = end;
-    drop(guard);
+    flight.end = end;
+    drop(flight);
     let (outcome, reason) = match &finish {
         Finish::Answer(response) => (response.status().as_u16(), ""),
         Finish::Error(response) => (response.status().as_u16(), "failed at the worker"),
@@ -127,13 +120,26 @@
     finish
 }
 
-struct Guard<'a> {
-    shared: &'a Shared,
+/// Request under way at a worker. Its end is noted on drop, also when the caller leaves.
+pub(super) struct Flight {
+    shared: Shared,
     worker: Key<Worker>,
-    end: End,
+    /// How it ended; abandoned until stated.
+    pub end: End,
+}
+
+impl Flight {
+    /// Notes a request to `worker`; nothing if the worker is gone.
+    pub fn start(shared: &Shared, worker: Key<Worker>) -> Option<(Entry, Self)> {
+        let mut fleet = shared.fleet();
+        let entry = fleet.get(worker)?.entry.clone();
+        fleet.sent(worker, 0, shared.now());
+        drop(fleet);
+        Some((entry, Self { shared: shared.clone(), worker, end: End::Abandoned }))
+    }
 }
 
-impl Drop for Guard<'_> {
+impl Drop for Flight {
     fn drop(&mut self) {
         let now = self.shared.now();
         self.shared.fleet().finished(self.worker, 0, self.end, now, rand::random());
--- a/components/entry/src/forward/mod.rs
+++ b/components/entry/src/forward/mod.rs
@@ -77,7 +77,7 @@
     let mut verdict = Verdict::NotRun;
     let mut failure = "no worker known";
     let mut last: Option<Response<Body>> = None;
-    while tried.len() < route.max_attempts.max(1) as usize {
+    for attempt in 1..=route.max_attempts.max(1) {
         let now = shared.now();
         let left = deadline.since(now);
         if left < LEAST_TIME {
@@ -85,10 +85,9 @@
             break;
         }
         let Some(service) = route.service(&mut rand::rng()) else { break };
-        let wish = Wish { service, zone: &shared.identity.zone, tried: &tried };
-        let Some(worker) = shared.fleet().choose(wish, now, &mut rand::rng()) else { break };
+        let Some(worker) = choose(shared, service, &tried, repeatable, now) else { break };
         tried.push(worker);
-        let more = repeatable && tried.len() < route.max_attempts as usize;
+        let more = repeatable && attempt < route.max_attempts;
         let limit = attempt_limit(route, left, more);
         let result = attempt::run::<D>(shared, worker, &job, repeatable, limit, left).await;
         match result {
@@ -115,6 +114,20 @@
     give_up(shared, route, &job, verdict, failure, tried.len())
 }
 
+/// Worker for an attempt: one that was not tried, or any where the request may run again.
+fn choose(
+    shared: &Shared,
+    service: &str,
+    tried: &[Key<Worker>],
+    again: bool,
+    now: Instant,
+) -> Option<Key<Worker>> {
+    let wish = Wish { service, zone: &shared.identity.zone, tried };
+    let (fleet, mut rng) = (shared.fleet(), rand::rng());
+    let fresh = fleet.choose(wish, now, &mut rng);
+    fresh.or_else(|| again.then(|| fleet.choose(Wish { tried: &[], ..wish }, now, &mut rng))?)
+}
+
 /// Time that one worker gets.
 #[must_use]
 pub fn attempt_limit(route: &Route, left: Duration, more: bool) -> Duration {
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -15,13 +15,17 @@
 use hyper::body::Incoming;
 use tokio::{sync::mpsc, time::timeout};
 
-use super::{Job, attempt, give_up};
+use super::{
+    Job,
+    attempt::{self, Flight},
+    choose, give_up,
+};
 use crate::{
     channel::Channel,
     config::Route,
     dialect::{Answer, Dialect},
     event::Parser,
-    fleet::{End, Entry, Wish, Worker},
+    fleet::{End, Entry, Worker},
     shared::Shared,
 };
 
@@ -38,7 +42,7 @@
     body: Incoming,
     channel: Channel,
     answer: Answer,
-    worker: Key<Worker>,
+    flight: Flight,
 }
 
 /// Forwards a stream and returns the answer for the caller once its head is known.
@@ -83,22 +87,21 @@
             return Err((verdict, "out of time"));
         }
         let Some(service) = route.service(&mut rand::rng()) else { break };
-        let wish = Wish { service, zone: &shared.identity.zone, tried };
-        let Some(worker) = shared.fleet().choose(wish, now, &mut rand::rng()) else { break };
+        let Some(worker) = choose(shared, service, tried, route.resumable, now) else { break };
         tried.push(worker);
-        let Some(entry) = shared.fleet().get(worker).map(|worker| worker.entry.clone()) else {
-            continue;
-        };
-        shared.fleet().sent(worker, 0, now);
+        let Some((entry, flight)) = Flight::start(shared, worker) else { continue };
         let more = route.resumable && tried.len() < route.max_attempts as usize;
         let limit = if more { left.min(HEAD_TIMEOUT) } else { left };
-        let sent = head::<D>(shared, &entry, worker, job, last_event, left);
+        let sent = head::<D>(shared, &entry, job, last_event, left);
         let (fault, end) = match timeout(limit, sent).await {
-            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Ok((head, body, channel, answer))) => {
+                return Ok(Open { head, body, channel, answer, flight });
+            }
             Ok(Err(fault)) => fault,
             Err(_) => ((Verdict::MayHaveRun, "no answer in time"), End::Failure),
         };
-        shared.fleet().finished(worker, 0, end, shared.now(), rand::random());
+        let mut flight = flight;
+        flight.end = end;
         verdict = verdict.and(fault.0);
         failure = fault.1;
         if !verdict.may_retry() && !route.resumable {
@@ -113,11 +116,10 @@
 async fn head<D: Dialect>(
     shared: &Shared,
     entry: &Entry,
-    worker: Key<Worker>,
     job: &Job,
     last_event: Option<u64>,
     left: Duration,
-) -> Result<Open, Fault> {
+) -> Result<(Parts, Incoming, Channel, Answer), Fault> {
     let Some(request) = attempt::request::<D>(job, entry, left, last_event) else {
         return Err(((Verdict::NotRun, "request cannot be passed on"), End::Abandoned));
     };
@@ -129,7 +131,7 @@
         Some((attempt::Finish::Failed { verdict, reason }, end)) => Err(((verdict, reason), end)),
         _ => {
             let (head, body) = response.into_parts();
-            Ok(Open { head, body, channel, answer, worker })
+            Ok((head, body, channel, answer))
         }
     }
 }
@@ -154,15 +156,7 @@
     async fn run<D: Dialect>(mut self, mut stream: Open) {
         let mut last_event = self.job.caller.last_event;
         loop {
-            let worker = stream.worker;
             let ended = self.relay::<D>(stream, &mut last_event).await;
-            let now = self.shared.now();
-            let end = match ended {
-                Ended::Whole => End::Success,
-                Ended::CallerLeft => End::Abandoned,
-                Ended::Broken(_) => End::Failure,
-            };
-            self.shared.fleet().finished(worker, 0, end, now, rand::random());
             let Ended::Broken(reason) = ended else { return };
             Line::new("stream_broken")
                 .with("id", self.job.id())
@@ -186,7 +180,21 @@
     }
 
     async fn relay<D: Dialect>(&self, stream: Open, last_event: &mut Option<u64>) -> Ended {
-        let Open { mut body, channel, answer, .. } = stream;
+        let Open { body, channel, answer, mut flight, .. } = stream;
+        let ended = self.events::<D>(body, last_event).await;
+        flight.end = match ended {
+            Ended::Whole => End::Success,
+            Ended::CallerLeft => End::Abandoned,
+            Ended::Broken(_) => End::Failure,
+        };
+        if let Ended::Whole = ended {
+            self.shared.pool.keep(channel, answer.keep_alive, self.shared.now());
+        }
+        ended
+    }
+
+    /// Passes events on until the stream ends.
+    async fn events<D: Dialect>(&self, mut body: Incoming, last_event: &mut Option<u64>) -> Ended {
         let mut parser = Parser::new(D::VERSION_FIELD);
         loop {
             let frame = tokio::select! {
@@ -196,7 +204,7 @@
             let bytes = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) => return Ended::Broken("connection broke off"),
-                Ok(None) if parser.is_empty() => break,
+                Ok(None) if parser.is_empty() => return Ended::Whole,
                 Ok(None) => return Ended::Broken("ended within an event"),
                 Err(_) if self.route.resumable => return Ended::Broken("no event in time"),
                 Err(_) => continue,
@@ -222,7 +230,5 @@
                 }
             }
         }
-        self.shared.pool.keep(channel, answer.keep_alive, self.shared.now());
-        Ended::Whole
     }
 }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -89,7 +89,7 @@
     pub link: Arc<watch::Sender<Link>>,
     /// Whether the process was asked to stop.
     pub stopping: Arc<watch::Sender<bool>>,
-    /// Counts changes of the workers.
+    /// Counts changes of the workers; zero until the register has been read.
     pub fleet_changed: Arc<watch::Sender<u64>>,
     fleet: Arc<Mutex<Fleet>>,
 }
@@ -129,13 +129,14 @@
         self.config.borrow().clone()
     }
 
-    /// Whether callers may be sent here: the configuration is known, the store answers, and the
-    /// process was not asked to stop. Callers with batches are better served by a VM that reaches
+    /// Whether callers may be sent here: the configuration and the workers are known, the store
+    /// answers, and the process was not asked to stop. Callers with batches are better served by a VM that reaches
     /// the store; when none does, the load balancer uses them all.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let link = *self.link.borrow();
         self.config.borrow().is_some()
+            && *self.fleet_changed.borrow() > 0
             && link.regained.is_some()
             && link.lost.is_none()
             && !*self.stopping.borrow()
