Batches: one runner per model; orders counted once

Causes: each batch had another owner, which opened about 130 connections and learnt the workers' pace anew; a report during a load counted the order that was being carried out, and the next order named one too many (164 of 442 refused on the grown site).

--- a/components/entry/src/batch/board.rs
+++ b/components/entry/src/batch/board.rs
@@ -1,15 +1,22 @@
 //! Results of the batches that this VM runs, for readers.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
+use filbertsail_clock::Instant;
 use filbertsail_collections::HashMap;
 use tokio::sync::watch;
 
-use super::{Listed, Meta, Submission};
+use super::{Listed, Meta, Owner, Submission};
 
 /// Most bytes of text in one answer to a reader, which takes 1 MB.
 const MAX_TEXT_BYTES: usize = 700 * 1024;
 
+/// Age of a renewal up to which a VM is given further batches: two renewals.
+const RUNNER_AGE: Duration = Duration::from_millis(1_500);
+
 /// Results of one batch.
 #[derive(Debug)]
 pub struct Board {
@@ -68,6 +75,14 @@
     // Identifiers of accepted batches only.
     boards: Arc<Mutex<HashMap<String, Arc<Board>>>>,
     metas: Arc<Mutex<HashMap<String, Arc<Meta>>>>,
+    runners: Arc<Mutex<Runners>>,
+}
+
+/// Who runs the batches of each model, and when each VM last renewed its row.
+#[derive(Debug, Default)]
+struct Runners {
+    models: HashMap<String, (u64, Owner)>,
+    vms: HashMap<String, (u64, Instant)>,
 }
 
 impl Boards {
@@ -93,8 +108,45 @@
         self.metas.lock().unwrap_or_else(PoisonError::into_inner).get(batch).cloned()
     }
 
+    /// Process that runs the newest batch of a model, if it has renewed its row of late. It has open
+    /// connections to the workers, knows their pace, and sees the steps that overlap.
+    #[must_use]
+    pub fn runner(&self, model: &str, now: Instant) -> Option<Owner> {
+        let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+        let (_, owner) = runners.models.get(model)?;
+        let (incarnation, renewed) = runners.vms.get(&owner.vm)?;
+        let lives = *incarnation == owner.incarnation && now.since(*renewed) < RUNNER_AGE;
+        lives.then(|| owner.clone())
+    }
+
+    /// Notes that a VM renewed its row.
+    pub fn renewed(&self, vm: &str, incarnation: u64, now: Instant) {
+        let mut runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+        runners.vms.insert(vm.to_owned(), (incarnation, now));
+    }
+
+    /// Notes who runs a batch.
+    fn note_runner(&self, meta: &Meta) {
+        let mut runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+        let newest = runners.models.get(&meta.model).map(|(accepted_ms, _)| *accepted_ms);
+        if newest.is_some_and(|newest| newest > meta.accepted_ms) {
+            return;
+        }
+        match &meta.owner {
+            Some(owner) => {
+                runners.models.insert(meta.model.clone(), (meta.accepted_ms, owner.clone()));
+            }
+            None => {
+                runners.models.remove(&meta.model);
+            }
+        }
+    }
+
     /// Notes the owner's row of a batch, or that it was deleted.
     pub fn set_meta(&self, batch: &str, meta: Option<Meta>) {
+        if let Some(meta) = &meta {
+            self.note_runner(meta);
+        }
         let mut metas = self.metas.lock().unwrap_or_else(PoisonError::into_inner);
         match meta {
             Some(meta) => metas.insert(batch.to_owned(), Arc::new(meta)),
--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -113,8 +113,11 @@
         };
         let encoded = rows::encode(&submission);
         let pieces: Vec<Bytes> = rows::pieces(&encoded).collect();
+        let runner = self.boards.runner(&submission.model, start);
+        let owner = runner.unwrap_or_else(|| me.clone());
+        let mine = owner == me;
         let meta = Meta {
-            owner: Some(me.clone()),
+            owner: Some(owner),
             epoch: 1,
             writer: me.clone(),
             chunks: u32::try_from(pieces.len()).unwrap_or(u32::MAX),
@@ -130,7 +133,8 @@
         let mut last = self.store_pieces(batch, &me, pieces, start).await?;
         last.checks.push((rows::meta(batch), 0));
         last.writes.push((rows::meta(batch), rows::encode(&meta)));
-        let Some(version) = self.commit(batch, &me, last, start).await? else { return Ok(()) };
+        let committed = self.commit(batch, &me, last, start).await?;
+        let Some(version) = committed.filter(|_| mine) else { return Ok(()) };
         let adoption = Adoption {
             batch: batch.to_owned(),
             meta,
@@ -204,7 +208,7 @@
                         .and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
                     // A commit of this very call whose answer was lost.
                     let mine = meta.is_some_and(|meta| {
-                        meta.epoch == 1 && meta.owner.as_ref() == Some(me) && unknown
+                        meta.epoch == 1 && meta.writer == *me && unknown
                     });
                     return Ok(row.filter(|_| mine).map(|row| row.version));
                 }
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -190,8 +190,8 @@
     let seen = known.seen;
     let Some(owner) = &known.meta.owner else { return true };
     if owner == me {
-        // A commit whose answer was lost; the task takes it up like any other claim.
-        return now.since(seen) >= LOST_ANSWER;
+        // Accepted by another VM for this one, or a commit of this one whose answer was lost.
+        return known.meta.writer != *me || now.since(seen) >= LOST_ANSWER;
     }
     if owner.vm == me.vm {
         return true;
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -102,9 +102,14 @@
                 self.batch_row(&row, now);
             }
         }
-        if self.register.must_announce() && !self.leaving {
+        if self.leaving {
+            return;
+        }
+        if self.register.must_announce() {
             self.renew(now);
         }
+        // A batch that another VM has accepted for this one begins at once.
+        self.claim(now);
     }
 
     pub(super) fn vm_row(&mut self, row: &Row, now: Instant) {
@@ -117,6 +122,7 @@
             }
         };
         self.register.renewed(&row.key, renewal.incarnation, now);
+        self.boards.renewed(&row.key, renewal.incarnation, now);
         if row.key != self.me.vm {
             self.shared.fleet().heard(rows::hash32(&row.key), &renewal.workers, now);
         }
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -25,8 +25,9 @@
 /// Time to establish a connection. Zones are a few milliseconds apart, and a lost packet of the
 /// handshake is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time that an idle connection is kept if the worker states none.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time that an idle connection is kept if the worker states none. Steps come every few seconds, so
+/// it lasts from one to the next; a connection that the worker closed meanwhile is noticed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time before the worker's own timeout at which an idle connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Idle time up to which a connection may carry a request that must not run twice.
--- a/components/entry/src/weights/plan.rs
+++ b/components/entry/src/weights/plan.rs
@@ -114,6 +114,8 @@
 struct Ordered {
     model: String,
     version: u64,
+    /// Orders that the worker had accepted before.
+    expected: u64,
     at: Instant,
 }
 
@@ -155,7 +157,7 @@
                     continue;
                 };
                 let (model, version) = (target.model.clone(), target.version);
-                state.ordered = Some(Ordered { model: model.clone(), version, at: now });
+                state.ordered = Some(Ordered { model: model.clone(), version, expected, at: now });
                 actions.push(Action::Order { worker: view.key, model, version, expected });
             }
         }
@@ -271,12 +273,13 @@
 impl State {
     /// Takes note of an order whose effect shows in the register or in answers.
     fn observe(&mut self, view: &View) {
-        let done = self.ordered.as_ref().is_some_and(|ordered| {
+        let shows = |ordered: &Ordered| {
             view.version(&ordered.model).is_some_and(|version| version >= ordered.version)
-        });
-        if done {
-            (self.ordered, self.busy) = (None, false);
-            self.orders = self.orders.map(|orders| orders + 1);
+        };
+        if let Some(ordered) = self.ordered.take_if(|ordered| shows(ordered)) {
+            self.busy = false;
+            // A report during the load counts the order already.
+            self.orders = self.orders.max(Some(ordered.expected + 1));
         }
     }
 
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -161,3 +161,19 @@
     let versions = settle(&mut director, &mut fleet, &[target("m", 2, 0)], 0);
     assert_eq!(versions, [2; 8]);
 }
+
+/// Guards against an order that names one order too many: a report taken during a load counts the
+/// order that is being carried out.
+#[test]
+fn can_count_an_order_once() {
+    let mut fleet = fleet(1);
+    let mut director = Director::default();
+    round(&mut director, &views(&fleet), &targets(2, 1), 0);
+    round(&mut director, &views(&fleet), &targets(2, 1), 100);
+    let looks = director.plan(&views(&fleet), &targets(2, 1), at(1_100));
+    director.note(&Asked { action: looks[0].clone(), reply: report(1, true) }, at(1_150));
+    let worker = views(&fleet)[0].key;
+    fleet.versioned(worker, "m", 2);
+    let next = director.plan(&views(&fleet), &targets(2, 2), at(1_500));
+    assert!(matches!(next.as_slice(), [Action::Order { expected: 1, .. }]), "{next:?}");
+}
