--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -49,6 +49,21 @@
     Broken(String),
 }
 
+impl Finish {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused(_) => "refused",
+            Self::Failed => "failed",
+            Self::Invalid => "invalid",
+            Self::Stale => "stale",
+            Self::Broken(_) => "broken",
+        }
+    }
+}
+
 /// Run to start.
 #[derive(Clone, Debug)]
 pub struct Attempt {
--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -86,14 +86,17 @@
         match self.accept(batch, host, submission, start).await {
             Ok(()) => {
                 let took = self.shared.now().since(start).as_millis();
+                self.shared.metrics.batch("accepted");
                 Line::new("batch_accepted").with("batch", batch).with("took_ms", took).info();
                 status(StatusCode::ACCEPTED)
             }
             Err(Refusal::NotKept(fault)) => {
+                self.shared.metrics.batch("refused");
                 Line::new("batch_refused").with("batch", batch).with("reason", fault).warn();
                 refuse("store unavailable", STORE_RETRY_AFTER)
             }
             Err(Refusal::Unknown(fault)) => {
+                self.shared.metrics.batch("unknown");
                 Line::new("batch_unknown").with("batch", batch).with("reason", fault).warn();
                 json(StatusCode::GATEWAY_TIMEOUT, "outcome unknown")
             }
@@ -207,9 +210,8 @@
                         .as_ref()
                         .and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
                     // A commit of this very call whose answer was lost.
-                    let mine = meta.is_some_and(|meta| {
-                        meta.epoch == 1 && meta.writer == *me && unknown
-                    });
+                    let mine =
+                        meta.is_some_and(|meta| meta.epoch == 1 && meta.writer == *me && unknown);
                     return Ok(row.filter(|_| mine).map(|row| row.version));
                 }
                 Err(fault) => {
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -62,6 +62,8 @@
             Finish::Failed | Finish::Invalid | Finish::Stale => End::Abandoned,
         };
         self.shared.fleet().finished(worker, tokens, end, now, rand::rng().random());
+        let took = now.since(since).as_secs_f64();
+        self.shared.metrics.item(finish.name(), took);
         slot.phase = Phase::Waiting(now);
         slot.avoid = (finish != Finish::Done).then_some(worker);
         match finish {
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -36,6 +36,7 @@
             return self.register.unclaimed(&batch);
         }
         let accepted = self.shared.link.borrow().local(meta.accepted_ms, now);
+        self.shared.metrics.batch("owned");
         Line::new("batch_owned")
             .with("batch", &batch)
             .with("step", submission.step)
@@ -159,6 +160,7 @@
     /// The owner's row of a batch that runs here has changed.
     pub(super) fn owned_row(&mut self, batch: &str, key: Handle<Run>, meta: Meta, version: u64) {
         if meta.owner.as_ref() != Some(&self.me) {
+            self.shared.metrics.batch("lost");
             Line::new("batch_lost")
                 .with("batch", batch)
                 .with("epoch", meta.epoch)
@@ -206,6 +208,7 @@
         let names = &self.names;
         let due = self.register.due((since, answered), now, |batch| names.contains_key(batch));
         for (batch, meta, version) in due {
+            self.shared.metrics.batch("claimed");
             Line::new("batch_claimed")
                 .with("batch", &batch)
                 .with("row_version", version)
--- a/components/entry/src/batch/task/results.rs
+++ b/components/entry/src/batch/task/results.rs
@@ -124,6 +124,7 @@
             self.register.note(batch, meta.clone(), version, self.shared.now());
         }
         self.boards.set_meta(batch, Some(meta));
+        self.shared.metrics.batch("complete");
         Line::new("batch_complete").with("batch", batch).with("listed", storing.first).info();
         // The board stays until the caller ends the batch, so that reads need no call to the store.
     }
--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -9,7 +9,7 @@
     server::{Handler, Limits},
 };
 use filbertsail_ports::store::Store;
-use filbertsail_telemetry::event::Line;
+use filbertsail_telemetry::{event::Line, metrics::CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
@@ -18,12 +18,16 @@
     config::{Config, Kind},
     dialect::{Call, Dialect},
     forward::{self, Job, attempt::strip, reply},
+    metrics::Metrics,
     shared::Shared,
 };
 
 /// Time after which a caller should come back while the configuration is not known yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Path at which metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
 /// Handler of the callers' port.
 #[derive(Clone, Debug)]
 pub(super) struct Front<D, S> {
@@ -83,7 +87,10 @@
         headers.remove(header::EXPECT);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let job = Job { method: head.method, path, headers, body, caller, arrived };
-        forward::forward::<D>(shared, &route, job).await
+        let response = forward::forward::<D>(shared, &route, job).await;
+        let took = shared.now().since(arrived).as_secs_f64();
+        shared.metrics.request(response.status().as_u16(), took);
+        response
     }
 
     async fn body(&self, body: Incoming, config: &Config) -> Result<Bytes, Response<Body>> {
@@ -147,3 +154,32 @@
         })
     }
 }
+
+/// Handler of the metrics port.
+#[derive(Clone, Debug)]
+pub(super) struct Scrape {
+    metrics: Metrics,
+}
+
+impl Scrape {
+    pub(super) fn new(metrics: Metrics) -> Self {
+        Self { metrics }
+    }
+}
+
+impl Handler for Scrape {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        if request.uri().path() != METRICS_PATH {
+            return reply::status(StatusCode::NOT_FOUND);
+        }
+        match self.metrics.registry.render() {
+            Ok(text) => {
+                let mut response = Response::new(Body::full(text));
+                let kind = HeaderValue::from_static(CONTENT_TYPE);
+                response.headers_mut().insert(header::CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => reply::json(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error:#}")),
+        }
+    }
+}
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use filbertsail_http::server::{self, Limits};
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::event::Line;
-use handler::{Front, Readiness};
+use handler::{Front, Readiness, Scrape};
 use tokio::{
     net::TcpListener,
     sync::oneshot,
@@ -52,6 +52,8 @@
     pub callers: SocketAddr,
     /// Address for the other VMs.
     pub peers: SocketAddr,
+    /// Address at which metrics are read.
+    pub metrics: SocketAddr,
     /// Address at which the load balancer asks whether the daemon is ready.
     pub readiness: SocketAddr,
 }
@@ -78,6 +80,19 @@
     }
 }
 
+/// Serves metrics; a port that is taken costs only the metrics.
+async fn serve_metrics(shared: &Shared, address: SocketAddr) {
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let handler = Scrape::new(shared.metrics.clone());
+            tokio::spawn(server::serve(listener, LIMITS, handler, CancellationToken::new()));
+        }
+        Err(error) => {
+            Line::new("metrics_failed").with("address", address).with("reason", error).error();
+        }
+    }
+}
+
 /// Tables that calls through a peer may name.
 const fn tables<D: Dialect>() -> &'static [&'static str] {
     const {
@@ -103,7 +118,7 @@
     store: S,
     stop: CancellationToken,
 ) -> eyre::Result<Handle> {
-    let shared = Shared::new(settings.identity, settings.times);
+    let shared = Shared::new(settings.identity, settings.times)?;
     let bind = |address: SocketAddr| async move {
         TcpListener::bind(address).await.wrap_err_with(|| format!("binding {address}"))
     };
@@ -137,6 +152,7 @@
         Front::<D, Relay<S>>::new(calls),
         closed.clone(),
     ));
+    serve_metrics(&shared, settings.metrics).await;
     let ready_handler = Readiness::<D>::new(shared.clone());
     let ready_task =
         tokio::spawn(server::serve(readiness, LIMITS, ready_handler, CancellationToken::new()));
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -139,6 +139,7 @@
         let lost = link.lost.take();
         if let Some(lost) = lost {
             let away = now.since(lost).as_millis();
+            shared.metrics.store("regained");
             Line::new("store_regained").with("away_ms", away).info();
         }
         if lost.is_some() || link.regained.is_none() {
@@ -156,6 +157,7 @@
             if link.lost.is_some() {
                 return false;
             }
+            shared.metrics.store("lost");
             Line::new("store_lost").with("table", table.name).with("reason", fault).warn();
             link.lost = Some(now);
             true
--- a/components/entry/src/follow/operator.rs
+++ b/components/entry/src/follow/operator.rs
@@ -60,6 +60,7 @@
             .with("before", known.unwrap_or(0))
             .with("routes", config.routes.len())
             .info();
+        shared.metrics.config(config.version);
         *current = Some(Arc::new(config));
         true
     });
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod forward;
+pub mod metrics;
 pub mod relay;
 pub mod shared;
 pub mod weights;
--- /dev/null
+++ b/components/entry/src/metrics/mod.rs
@@ -0,0 +1,96 @@
+//! Counters and latency histograms of a daemon.
+//!
+//! Labels take a few fixed values, so that the number of series stays bounded.
+
+use derive_more::Debug;
+use filbertsail_telemetry::metrics::{Counter, Gauge, Histogram, KeyValue, Registry};
+
+/// Instruments, cheap to clone.
+#[derive(Clone, Debug)]
+#[debug("Metrics")]
+pub struct Metrics {
+    /// All instruments, for the metrics port.
+    pub registry: Registry,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    attempts: Counter<u64>,
+    items: Counter<u64>,
+    item_seconds: Histogram<f64>,
+    batches: Counter<u64>,
+    orders: Counter<u64>,
+    store_changes: Counter<u64>,
+    config_version: Gauge<f64>,
+}
+
+fn label(key: &'static str, value: &'static str) -> [KeyValue; 1] {
+    [KeyValue::new(key, value)]
+}
+
+impl Metrics {
+    /// Instruments of the VM `vm`.
+    ///
+    /// # Errors
+    /// Fails if the exporter refuses its registry.
+    pub fn new(vm: &str) -> eyre::Result<Self> {
+        let registry = Registry::new(vm)?;
+        Ok(Self {
+            requests: registry.counter("requests", "Forwarded requests by outcome"),
+            request_seconds: registry.seconds("request", "Time from request to answer"),
+            attempts: registry.counter("attempts", "Attempts of requests at workers by outcome"),
+            items: registry.counter("item_runs", "Runs of rollout items by outcome"),
+            item_seconds: registry.seconds("item", "Time of a whole run of an item"),
+            batches: registry.counter("batches", "Events of batches"),
+            orders: registry.counter("orders", "Orders to load weights by reply"),
+            store_changes: registry.counter("store_links", "Losses and returns of the store"),
+            config_version: registry.gauge("config_version", "Configuration in force"),
+            registry,
+        })
+    }
+
+    /// A forwarded request ended with a status after `seconds`.
+    pub fn request(&self, status: u16, seconds: f64) {
+        let outcome = match status {
+            200..=299 => "success",
+            503 | 429 => "refused",
+            400..=499 => "denied",
+            _ => "failed",
+        };
+        self.requests.add(1, &label("outcome", outcome));
+        self.request_seconds.record(seconds, &[]);
+    }
+
+    /// An attempt of a request ended; `reason` is empty for a whole answer.
+    pub fn attempt(&self, reason: &'static str) {
+        self.attempts
+            .add(1, &label("outcome", if reason.is_empty() { "answered" } else { reason }));
+    }
+
+    /// A run of an item ended after `seconds`.
+    pub fn item(&self, outcome: &'static str, seconds: f64) {
+        self.items.add(1, &label("outcome", outcome));
+        if outcome == "done" {
+            self.item_seconds.record(seconds, &[]);
+        }
+    }
+
+    /// Something happened to a batch.
+    pub fn batch(&self, event: &'static str) {
+        self.batches.add(1, &label("event", event));
+    }
+
+    /// A worker replied to an order.
+    pub fn order(&self, reply: &'static str) {
+        self.orders.add(1, &label("reply", reply));
+    }
+
+    /// The store was lost or regained, or is reached through a peer.
+    pub fn store(&self, event: &'static str) {
+        self.store_changes.add(1, &label("event", event));
+    }
+
+    /// A configuration came into force.
+    #[expect(clippy::cast_precision_loss)]
+    pub fn config(&self, version: u64) {
+        self.config_version.record(version as f64, &[]);
+    }
+}
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -9,7 +9,7 @@
 use filbertsail_collections::HashMap;
 use tokio::sync::watch;
 
-use crate::{channel::Pool, config::Config, fleet::Fleet};
+use crate::{channel::Pool, config::Config, fleet::Fleet, metrics::Metrics};
 
 /// Identity of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,6 +77,8 @@
     pub identity: Arc<Identity>,
     /// Times of the installation.
     pub times: Times,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Connections to workers.
     pub pool: Pool,
     /// Configuration in force.
@@ -96,9 +98,12 @@
 
 impl Shared {
     /// State of a daemon that knows nothing yet.
-    #[must_use]
-    pub fn new(identity: Identity, times: Times) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// Fails if the metrics cannot be set up.
+    pub fn new(identity: Identity, times: Times) -> eyre::Result<Self> {
+        Ok(Self {
+            metrics: Metrics::new(&identity.vm)?,
             identity: Arc::new(identity),
             times,
             pool: Pool::default(),
@@ -109,7 +114,7 @@
             stopping: Arc::new(watch::channel(false).0),
             fleet_changed: Arc::new(watch::channel(0).0),
             fleet: Arc::default(),
-        }
+        })
     }
 
     /// Present time.
--- a/components/entry/src/weights/plan.rs
+++ b/components/entry/src/weights/plan.rs
@@ -89,6 +89,21 @@
     Silent,
 }
 
+impl Reply {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Differs => "differs",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Call whose reply came.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Asked {
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -194,7 +194,8 @@
                 _ => call::<D>(&shared, entry.address, request, line.is_some()).await,
             };
             if let Some(line) = line {
-                line.with("reply", format!("{reply:?}").to_lowercase()).info();
+                shared.metrics.order(reply.name());
+                line.with("reply", reply.name()).info();
             }
             // The task may have stopped meanwhile.
             let _ = replies.send(Asked { action, reply });
