--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 /// Weight of the newest interval in the pace of a worker.
 const PACE_WEIGHT: f64 = 0.15;
 /// Time after the return of the store within which entries that lapsed meanwhile come back.
-pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Entry of a worker in the register.
 #[derive(Clone, Debug, PartialEq)]
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -138,6 +138,7 @@
         link.clock = Some((page.now_ms, now));
         let lost = link.lost.take();
         if let Some(lost) = lost {
+            link.returned = Some(now);
             let away = now.since(lost).as_millis();
             shared.metrics.store("regained");
             Line::new("store_regained").with("away_ms", away).info();
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -8,11 +8,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::{News, Table, WAIT, follow};
-use crate::{
-    dialect::Dialect,
-    fleet::{Change, LAPSE_GRACE},
-    shared::Shared,
-};
+use crate::{dialect::Dialect, fleet::Change, shared::Shared};
 
 /// Pause after a change, so that a wave of changes shares a few calls. It adds to the time in which
 /// a leaving worker must be noticed, which is seconds.
@@ -83,11 +79,7 @@
 
 fn vanish(shared: &Shared, id: &str) {
     let now = shared.now();
-    let grace = {
-        let link = shared.link.borrow();
-        // Twice the grace, since the two feeds notice the return at different times.
-        !link.is_steady(LAPSE_GRACE * 2, now)
-    };
+    let grace = shared.link.borrow().may_have_lapsed(now);
     let address = {
         let fleet = shared.fleet();
         fleet.key(id).and_then(|key| fleet.get(key)).map(|worker| worker.entry.address)
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -11,6 +11,9 @@
 
 use crate::{channel::Pool, config::Config, fleet::Fleet, metrics::Metrics};
 
+/// Time after the store's return within which entries that lapsed meanwhile are seen to vanish.
+const LAPSE_WINDOW: Duration = Duration::from_millis(1_500);
+
 /// Identity of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -40,6 +43,8 @@
     pub lost: Option<Instant>,
     /// When it answered again after it was last lost, or for the first time.
     pub regained: Option<Instant>,
+    /// When it answered again after it was last lost; absent if it never was.
+    pub returned: Option<Instant>,
     /// Steady clock of the store in milliseconds, and when it was read.
     pub clock: Option<(u64, Instant)>,
 }
@@ -57,10 +62,11 @@
         now.before(Duration::from_millis(self.store_ms(now).saturating_sub(ms)))
     }
 
-    /// Whether the store has answered without interruption for `time`.
+    /// Whether an entry that vanishes at `now` may have lapsed only because the store was away. The
+    /// first contact of a process is no return.
     #[must_use]
-    pub fn is_steady(&self, time: Duration, now: Instant) -> bool {
-        self.lost.is_none() && self.regained.is_some_and(|at| now.since(at) >= time)
+    pub fn may_have_lapsed(&self, now: Instant) -> bool {
+        self.lost.is_some() || self.returned.is_some_and(|at| now.since(at) < LAPSE_WINDOW)
     }
 }
 
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -7,6 +7,7 @@
     batch::{rows::hash32, takeover::Sight},
     dialect::Load,
     fleet::{Change, End, Entry, Fleet, Need, Wish},
+    shared::Link,
 };
 
 fn at(ms: u64) -> Instant {
@@ -158,3 +159,16 @@
     let wish = Wish { tried: &[one, two], ..wish };
     assert_eq!(fleet.choose(wish, at(10), &mut rng), None);
 }
+
+/// Guards against a removed worker that is kept because the process or the store's way back is a
+/// few seconds old, and against one that is dropped with the store's return.
+#[test]
+fn can_tell_lapsed_entries_from_removed_ones() {
+    let fresh = Link { regained: Some(at(1_000)), ..Link::default() };
+    assert!(!fresh.may_have_lapsed(at(1_100)), "the first contact is no return");
+    let away = Link { lost: Some(at(5_000)), ..fresh };
+    assert!(away.may_have_lapsed(at(9_000)));
+    let back = Link { regained: Some(at(9_000)), returned: Some(at(9_000)), ..fresh };
+    assert!(back.may_have_lapsed(at(9_500)));
+    assert!(!back.may_have_lapsed(at(10_600)));
+}
