--- a/components/entry/src/batch/calls.rs
+++ b/components/entry/src/batch/calls.rs
@@ -371,14 +371,13 @@
         let start = self.shared.now();
         loop {
             match self.try_end(batch).await {
-                Ok(found) => {
-                    if !found {
-                        return json(StatusCode::NOT_FOUND, "no such batch");
-                    }
+                Ok(Some((meta, version))) => {
+                    let (batch, meta) = (batch.to_owned(), Box::new(meta));
                     // The task lives as long as the process.
-                    let _ = self.task.send(Command::End(batch.to_owned()));
+                    let _ = self.task.send(Command::End { batch, meta, version });
                     return status(StatusCode::OK);
                 }
+                Ok(None) => return json(StatusCode::NOT_FOUND, "no such batch"),
                 // The owner's row changed between the read and the write.
                 Err(Fault::Conflict(_)) => {}
                 Err(fault) if self.is_hopeless(start, self.shared.now()) => {
@@ -390,10 +389,11 @@
         }
     }
 
-    async fn try_end(&self, batch: &str) -> Result<bool, Fault> {
-        let Some((meta, version)) = self.meta(batch).await? else { return Ok(false) };
+    /// Stores the end of a batch; returns the owner's row that says so.
+    async fn try_end(&self, batch: &str) -> Result<Option<(Meta, u64)>, Fault> {
+        let Some((meta, version)) = self.meta(batch).await? else { return Ok(None) };
         if meta.ended {
-            return Ok(true);
+            return Ok(Some((meta, version)));
         }
         let meta = Meta { ended: true, ..meta };
         let transaction = Transaction {
@@ -406,7 +406,7 @@
             .with("batch", batch)
             .with("row_version", commit.version)
             .info();
-        Ok(true)
+        Ok(Some((meta, commit.version)))
     }
 }
 
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -110,6 +110,17 @@
         true
     }
 
+    /// Row under which a batch that was claimed or accepted with `meta` may run now. Nothing if it
+    /// has been ended or claimed by another process since: loading its rows takes a while.
+    #[must_use]
+    pub fn current(&self, batch: &str, meta: Meta, version: u64) -> Option<(Meta, u64)> {
+        let newer = self.batches.get(batch).filter(|known| known.version > version);
+        let (meta, version) =
+            newer.map_or((meta, version), |known| (known.meta.clone(), known.version));
+        let runs = !meta.ended && meta.owner.as_ref() == Some(&self.me);
+        runs.then_some((meta, version))
+    }
+
     /// Forgets a batch whose row was deleted.
     pub fn forget(&mut self, batch: &str) {
         self.batches.remove(batch);
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    Owner,
+    Meta, Owner,
     attempt::Finish,
     board::Boards,
     rows,
@@ -50,7 +50,14 @@
     /// A claim failed.
     Unclaimed(String),
     /// The caller has ended a batch.
-    End(String),
+    End {
+        /// Batch.
+        batch: String,
+        /// Owner's row that says so.
+        meta: Box<Meta>,
+        /// Its version.
+        version: u64,
+    },
     /// A run of an item ended.
     Finished {
         /// Batch.
@@ -181,7 +188,13 @@
         match command {
             Command::Adopt(adoption) => self.adopt(*adoption),
             Command::Unclaimed(batch) => self.register.unclaimed(&batch),
-            Command::End(batch) => self.end(&batch),
+            Command::End { batch, meta, version } => {
+                // The feed may lag behind, and an open row would be claimed again.
+                let now = self.shared.now();
+                self.register.note(&batch, (*meta).clone(), version, now);
+                self.boards.set_meta(&batch, Some(*meta));
+                self.end(&batch);
+            }
             Command::Finished { run, item, attempt, finish } => {
                 self.finished(run, item, attempt, finish);
             }
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -32,9 +32,15 @@
             return;
         }
         self.register.note(&batch, meta.clone(), version, now);
-        if self.leaving || meta.ended {
+        let current = self.register.current(&batch, meta, version);
+        let Some((meta, version)) = current.filter(|_| !self.leaving) else {
+            Line::new("batch_not_adopted")
+                .with("batch", &batch)
+                .with("row_version", version)
+                .with("leaving", self.leaving)
+                .info();
             return self.register.unclaimed(&batch);
-        }
+        };
         let accepted = self.shared.link.borrow().local(meta.accepted_ms, now);
         self.shared.metrics.batch("owned");
         Line::new("batch_owned")
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -100,3 +100,21 @@
     assert!(due(&mut register, 0, 6_000, 6_000).is_empty());
     assert!(register.is_carried("c", 7) && !register.is_carried("b", 7));
 }
+
+/// Guards against items that run after their batch was ended, or at two owners: the rows of a
+/// claimed batch take a while to load, and its owner's row may change meanwhile.
+#[test]
+fn can_give_up_a_claim_that_was_overtaken() {
+    let mine = meta(Some(owner("vm-2", 1)));
+    let mut register = Register::new(owner("vm-2", 1));
+    register.note("b", mine.clone(), 10, at(1_000));
+    assert_eq!(register.current("b", mine.clone(), 10), Some((mine.clone(), 10)));
+    let complete = Meta { complete: true, ..mine.clone() };
+    register.note("b", complete.clone(), 11, at(1_100));
+    assert_eq!(register.current("b", mine.clone(), 10), Some((complete, 11)), "the newest row");
+    register.note("b", Meta { ended: true, ..mine.clone() }, 12, at(1_200));
+    assert_eq!(register.current("b", mine.clone(), 10), None, "ended");
+    assert!(due(&mut register, 0, 2_000, 2_000).is_empty());
+    register.note("c", meta(Some(owner("vm-3", 1))), 9, at(1_000));
+    assert_eq!(register.current("c", mine, 8), None, "claimed by another VM");
+}
