--- a/components/entry/src/forward/mod.rs
+++ b/components/entry/src/forward/mod.rs
@@ -159,7 +159,9 @@
     match verdict {
         Verdict::NotRun if attempts == 0 => reply::refuse(reason, NONE_RETRY_AFTER),
         Verdict::NotRun => reply::refuse(reason, FULL_RETRY_AFTER),
-        _ if reason == "out of time" => reply::json(StatusCode::GATEWAY_TIMEOUT, reason),
+        _ if now.after(LEAST_TIME) >= job.deadline(route) => {
+            reply::json(StatusCode::GATEWAY_TIMEOUT, reason)
+        }
         _ => reply::json(StatusCode::BAD_GATEWAY, reason),
     }
 }
--- a/components/telemetry/src/sink/mod.rs
+++ b/components/telemetry/src/sink/mod.rs
@@ -13,6 +13,9 @@
 
 /// Bytes that may wait to be written: some seconds of lines at the busiest.
 const CAPACITY: usize = 512 * 1024;
+/// Most bytes of one write, unless a single line is longer: a pipe takes that much at once, so that
+/// lines of several writers are not torn.
+const WRITE_BYTES: usize = 4 * 1024;
 /// Pause between two writes, so that many lines share a system call.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -113,8 +116,10 @@
         let mut bytes = Vec::new();
         loop {
             let dropped = self.take(&mut bytes);
-            // There is nobody left to tell when the output itself fails.
-            let _ = output.write_all(&bytes);
+            for lines in pieces(&bytes) {
+                // There is nobody left to tell when the output itself fails.
+                let _ = output.write_all(lines);
+            }
             if dropped > 0 {
                 let _ = writeln!(output, "event=log_lines_dropped count={dropped}");
             }
@@ -136,3 +141,21 @@
         std::mem::take(&mut buffer.unreported)
     }
 }
+
+/// Whole lines in pieces of at most [`WRITE_BYTES`] bytes where lines are that short.
+fn pieces(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let window = &rest[..rest.len().min(WRITE_BYTES)];
+        let end = match window.iter().rposition(|byte| *byte == b'\n') {
+            Some(last) => last + 1,
+            None => rest.iter().position(|byte| *byte == b'\n').map_or(rest.len(), |end| end + 1),
+        };
+        let (piece, left) = rest.split_at(end);
+        rest = left;
+        Some(piece)
+    })
+}
--- a/components/telemetry/tests/sink.rs
+++ b/components/telemetry/tests/sink.rs
@@ -70,3 +70,36 @@
     sink.flush_within(Duration::from_secs(20));
     assert_eq!(written.lock().expect("lock").as_slice(), b"2026 [INFO] event=a\n");
 }
+
+/// Guards against lines that are torn between two writes, which other writers may come between.
+#[test]
+fn can_write_whole_lines_at_a_time() {
+    /// Output that keeps each write.
+    struct Writes(Sender<Vec<u8>>);
+
+    impl Write for Writes {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.send(bytes.to_vec()).map_err(io::Error::other)?;
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    let (sender, writes) = channel();
+    let mut sink = Sink::start(Writes(sender)).expect("started");
+    let lengths = [10, 5_000, 700, 900, 3_000, 1, 4_095];
+    for length in lengths {
+        sink.write_all(format!("{}\n", "x".repeat(length)).as_bytes()).expect("never fails");
+    }
+    sink.flush_within(Duration::from_secs(20));
+    let mut seen = Vec::new();
+    for write in writes.try_iter() {
+        assert!(write.ends_with(b"\n") && (write.len() <= 4_096 || write.len() == 5_001));
+        let text = String::from_utf8(write).expect("UTF-8");
+        seen.extend(text.lines().map(str::len).collect::<Vec<_>>());
+    }
+    assert_eq!(seen, lengths);
+}
