Takeover: a silent owner is replaced only after a proof; claims back off

A VM now renews its own row before it claims from an owner that is only silent, and failed claims are repeated after 0.4 to 1.2 s.

--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -40,6 +40,29 @@
     pub partials: Vec<Partial>,
 }
 
+/// Batch to claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Batch.
+    pub batch: String,
+    /// Owner's row.
+    pub meta: Meta,
+    /// Its version.
+    pub version: u64,
+    /// Whether only its silence speaks against the owner. Then this VM renews its own row first:
+    /// if that fails, the owner may be silent for the same reason.
+    pub is_silent: bool,
+}
+
+/// Why an owner counts as gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gone {
+    /// It gave the batch up, or its process has ended.
+    Surely,
+    /// It has not renewed its row.
+    Silent,
+}
+
 /// Owner's row as last seen.
 #[derive(Clone, Debug)]
 struct Known {
@@ -151,21 +174,26 @@
         steady: (Instant, Instant),
         now: Instant,
         runs_here: impl Fn(&str) -> bool,
-    ) -> Vec<(String, Meta, u64)> {
+    ) -> Vec<Due> {
         let mut due = Vec::new();
         for (batch, known) in &mut self.batches {
             let closed = known.meta.ended || known.meta.complete;
             if closed || known.claiming || runs_here(batch) {
                 continue;
             }
-            if !is_gone(known, &self.vms, &self.me, steady, now) {
+            let Some(gone) = is_gone(known, &self.vms, &self.me, steady, now) else {
                 known.gone = None;
                 continue;
-            }
+            };
             let since = *known.gone.get_or_insert(now);
             if now >= since.after(delay(&self.me, batch, &known.meta)) {
                 known.claiming = true;
-                due.push((batch.clone(), known.meta.clone(), known.version));
+                due.push(Due {
+                    batch: batch.clone(),
+                    meta: known.meta.clone(),
+                    version: known.version,
+                    is_silent: gone == Gone::Silent,
+                });
             }
         }
         due
@@ -197,23 +225,24 @@
     me: &Owner,
     (steady_since, answered): (Instant, Instant),
     now: Instant,
-) -> bool {
+) -> Option<Gone> {
     let seen = known.seen;
-    let Some(owner) = &known.meta.owner else { return true };
+    let Some(owner) = &known.meta.owner else { return Some(Gone::Surely) };
     if owner == me {
         // Accepted by another VM for this one, or a commit of this one whose answer was lost.
-        return known.meta.writer != *me || now.since(seen) >= LOST_ANSWER;
+        let due = known.meta.writer != *me || now.since(seen) >= LOST_ANSWER;
+        return due.then_some(Gone::Surely);
     }
     if owner.vm == me.vm {
-        return true;
+        return Some(Gone::Surely);
     }
     let sign = vms.get(&owner.vm);
     if sign.is_some_and(|row| row.incarnation != owner.incarnation && row.seen > seen) {
-        return true;
+        return Some(Gone::Surely);
     }
     let heard = sign.map_or(seen, |row| row.seen.max(seen)).max(steady_since);
     // Silence counts up to the store's last answer only: it may itself have fallen silent.
-    answered.since(heard) >= SILENCE
+    (answered.since(heard) >= SILENCE).then_some(Gone::Silent)
 }
 
 /// Time for which a candidate waits: none for the VM whose own process was replaced.
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -8,12 +8,12 @@
 use filbertsail_telemetry::event::Line;
 use tokio::time::sleep;
 
-use super::{Command, MAX_RESULTS, STORE_RETRY, Task};
+use super::{Command, MAX_RESULTS, Task};
 use crate::{
     batch::{
         Meta, rows,
         run::{Phase, Run},
-        takeover::{self, Adoption, Renewal},
+        takeover::{self, Adoption, Due, Renewal},
     },
     dialect::Dialect,
     fleet::End,
@@ -21,6 +21,8 @@
     shared::millis,
 };
 
+/// Mean pause before a claim that failed is repeated. All VMs claim, so they must not do so in step.
+const CLAIM_RETRY: Duration = Duration::from_millis(800);
 /// Time kept beyond the retention before rows are deleted.
 const RETENTION_SLACK: Duration = Duration::from_secs(30);
 
@@ -186,15 +188,7 @@
 
     pub(super) fn renew(&mut self, now: Instant) {
         self.renewed = Some(now);
-        let renewal = Renewal {
-            incarnation: self.me.incarnation,
-            number: now.as_micros(),
-            workers: self.shared.fleet().sights(),
-        };
-        let value = rows::encode(&renewal);
-        let transaction =
-            Transaction { writes: vec![(rows::vm(&self.me.vm), value)], ..Transaction::default() };
-        let store = self.store.clone();
+        let (store, transaction) = (self.store.clone(), self.renewal(now));
         tokio::spawn(async move {
             if let Err(fault) = store.transact(transaction).await {
                 Line::new("renewal_failed").with("reason", fault).warn();
@@ -202,6 +196,16 @@
         });
     }
 
+    fn renewal(&self, now: Instant) -> Transaction {
+        let renewal = Renewal {
+            incarnation: self.me.incarnation,
+            number: now.as_micros(),
+            workers: self.shared.fleet().sights(),
+        };
+        let writes = vec![(rows::vm(&self.me.vm), rows::encode(&renewal))];
+        Transaction { writes, ..Transaction::default() }
+    }
+
     pub(super) fn claim(&mut self, now: Instant) {
         if !self.shared.is_ready() {
             return;
@@ -213,30 +217,40 @@
         };
         let names = &self.names;
         let due = self.register.due((since, answered), now, |batch| names.contains_key(batch));
-        for (batch, meta, version) in due {
+        for Due { batch, meta, version, is_silent } in due {
             self.shared.metrics.batch("claimed");
             Line::new("batch_claimed")
                 .with("batch", &batch)
                 .with("row_version", version)
                 .with("epoch", meta.epoch)
                 .with("owner", meta.owner.as_ref().map_or("none", |owner| owner.vm.as_str()))
+                .with("silent", is_silent)
                 .info();
+            let proof = is_silent.then(|| self.renewal(now));
             let (store, commands, me) =
                 (self.store.clone(), self.commands.clone(), self.me.clone());
             tokio::spawn(async move {
-                let claimed = takeover::claim(&store, &me, &batch, meta, version).await;
-                // The task lives as long as the process.
-                let _ = match claimed {
-                    Ok(adoption) => commands.send(Command::Adopt(Box::new(adoption))),
+                let claimed = match proof {
+                    Some(proof) => store.transact(proof).await.map(|_| ()),
+                    None => Ok(()),
+                };
+                let claimed = match claimed {
+                    Ok(()) => takeover::claim(&store, &me, &batch, meta, version).await,
+                    Err(fault) => Err(fault),
+                };
+                let command = match claimed {
+                    Ok(adoption) => Command::Adopt(Box::new(adoption)),
                     Err(fault) => {
                         Line::new("claim_failed")
                             .with("batch", &batch)
                             .with("reason", fault)
                             .info();
-                        sleep(STORE_RETRY).await;
-                        commands.send(Command::Unclaimed(batch))
+                        sleep(CLAIM_RETRY.mul_f64(0.5 + rand::random::<f64>())).await;
+                        Command::Unclaimed(batch)
                     }
                 };
+                // The task lives as long as the process.
+                let _ = commands.send(command);
             });
         }
     }
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -31,7 +31,7 @@
 /// Names of the batches that are due when the store last answered at `answered`.
 fn due(register: &mut Register, steady: u64, answered: u64, now: u64) -> Vec<String> {
     let due = register.due((at(steady), at(answered)), at(now), |_| false);
-    due.into_iter().map(|(batch, ..)| batch).collect()
+    due.into_iter().map(|due| due.batch).collect()
 }
 
 fn register() -> Register {
@@ -118,3 +118,18 @@
     register.note("c", meta(Some(owner("vm-3", 1))), 9, at(1_000));
     assert_eq!(register.current("c", mine, 8), None, "claimed by another VM");
 }
+
+/// Guards against a takeover from a living owner while the part of the store that holds the rows
+/// of VMs is away: silence alone asks for a proof, an ended process does not.
+#[test]
+fn can_tell_silence_from_an_ended_process() {
+    let silent = |register: &mut Register, now| {
+        register.due((at(0), at(now)), at(now), |_| false);
+        let due = register.due((at(0), at(now + 500)), at(now + 500), |_| false);
+        due.into_iter().map(|due| due.is_silent).collect::<Vec<_>>()
+    };
+    assert_eq!(silent(&mut register(), 4_000), [true]);
+    let mut ended = register();
+    ended.renewed("vm-1", 2, at(1_200));
+    assert_eq!(silent(&mut ended, 1_300), [false]);
+}
