Items: a stream silent for 1.6 s counts as broken; trace refuses an empty identifier

A dark engine cost an item 2.5 s of a step due in 7.5 s. Events come every 40 to 160 ms, also during loads.

--- a/components/ctl/src/cmd/trace.rs
+++ b/components/ctl/src/cmd/trace.rs
@@ -28,6 +28,9 @@
 /// # Errors
 /// Fails if a file cannot be read or the output not be written.
 pub fn run(args: &Trace, out: &mut impl Write) -> Result<Exit, Failure> {
+    if args.id.is_empty() {
+        return Err(Failure::new(Exit::Usage, "an identifier is needed"));
+    }
     let mut entries = Vec::new();
     if args.files.is_empty() {
         collect(io::stdin().lock(), "", &args.id, &mut entries).wrap_err("standard input")?;
--- a/components/ctl/tests/commands.rs
+++ b/components/ctl/tests/commands.rs
@@ -182,4 +182,5 @@
     assert_eq!(sources, ["vm-2", "vm-1"], "{out}");
     assert_eq!(command(&["trace", "i-8", &one, &two]).await.0, Exit::Faults);
     assert_eq!(command(&["trace", "i-7", "/no/such/file"]).await.0, Exit::Usage);
+    assert_eq!(command(&["trace", "", &one]).await.0, Exit::Usage, "empty values are no story");
 }
--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -23,9 +23,9 @@
 /// Longest time to the head of an answer. A worker that loads weights holds requests for about a
 /// second, and longer while several load.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Longest pause between two events. A worker that loads weights pauses its runs for a second or
-/// two; one that crashed behind a cut never goes on.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest pause between two events. Events come every 40 ms, 160 ms on slow workers, also while
+/// weights load; a lost packet is sent again within a second. A worker that went dark never goes on.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Time for which a worker that refused gets no new items. Most refusals come from a load of
 /// weights, which takes about 0.9 s.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
