--- a/components/cluster/src/lease/machine.rs
+++ b/components/cluster/src/lease/machine.rs
@@ -228,8 +228,12 @@
         self.look_at = now;
     }
 
-    /// The row could not be read.
+    /// The row could not be read. What its holder did meanwhile is not known, so its silence counts
+    /// anew; after an outage of the table the holder is the first to renew.
     pub fn unread(&mut self, now: Instant) {
+        if let Some(seen) = &mut self.seen {
+            seen.since = now;
+        }
         self.look_at = now.after(self.times.ttl / 10);
     }
 
--- a/components/cluster/tests/succession.rs
+++ b/components/cluster/tests/succession.rs
@@ -72,3 +72,19 @@
     machine.read(at(2_100), Some(&row("vm-2", true)));
     assert!(write(&mut machine, at(2_100)).is_some());
 }
+
+/// Guards against a lease that changes hands after an outage of the table though its holder lives:
+/// the next holder would have to wait for the orders of the one before.
+#[test]
+fn can_leave_the_lease_to_its_holder_after_an_outage() {
+    let mut machine = successor();
+    machine.read(at(100), Some(&row("vm-2", true)));
+    machine.unread(at(700));
+    machine.unread(at(5_000));
+    machine.read(at(5_100), Some(&row("vm-2", true)));
+    assert!(write(&mut machine, at(5_100)).is_none());
+    machine.read(at(6_900), Some(&row("vm-2", true)));
+    assert!(write(&mut machine, at(6_900)).is_none());
+    machine.read(at(7_000), Some(&row("vm-2", true)));
+    assert!(write(&mut machine, at(7_000)).is_some(), "silent for the whole time since");
+}
