--- a/components/entry/src/batch/board.rs
+++ b/components/entry/src/batch/board.rs
@@ -14,8 +14,8 @@
 /// Most bytes of text in one answer to a reader, which takes 1 MB.
 const MAX_TEXT_BYTES: usize = 700 * 1024;
 
-/// Age of a renewal up to which a VM is given further batches: two renewals.
-const RUNNER_AGE: Duration = Duration::from_millis(1_500);
+/// Age of a renewal up to which a VM is given further batches: two renewals and the pause of a feed.
+const RUNNER_AGE: Duration = Duration::from_millis(2_000);
 
 /// Results of one batch.
 #[derive(Debug)]
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -35,6 +35,11 @@
 
 /// Time for which finished items wait for others to share a transaction.
 const STORE_INTERVAL: Duration = Duration::from_millis(40);
+/// Pause of the feed of owners' rows at a VM that runs batches: the next one must begin at once.
+const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// Pause of that feed elsewhere. Every owner renews its row more than once a second, and each news
+/// costs every VM a call; an idle VM only takes over what has stood still for seconds.
+const IDLE_PAUSE: Duration = Duration::from_millis(200);
 /// Time between two looks at slow runs and lost owners.
 const TICK: Duration = Duration::from_millis(250);
 /// Pause before a store call is repeated.
@@ -141,7 +146,8 @@
             name: rows::BATCHES,
             parts: rows::parts(),
             watches_link: false,
-            pause: Duration::from_millis(20),
+            pause: OWNER_PAUSE,
+            idle_pause: IDLE_PAUSE,
             wait: follow::WAIT,
         };
         // The task lives as long as the process.
@@ -171,6 +177,10 @@
                 _ = config_changed.changed() => {}
                 () = sleep(pause) => {}
             }
+            let runs = !self.runs.is_empty();
+            self.shared
+                .runs_batches
+                .send_if_modified(|known| std::mem::replace(known, runs) != runs);
             let now = self.shared.now();
             if now.since(self.stored) >= STORE_INTERVAL {
                 self.stored = now;
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -46,8 +46,10 @@
     pub parts: Vec<String>,
     /// Whether failures of this table's feed count as loss of the store.
     pub watches_link: bool,
-    /// Pause after each news, so that several changes share a call.
+    /// Pause after each news while this VM runs batches, so that several changes share a call.
     pub pause: Duration,
+    /// Pause after each news otherwise.
+    pub idle_pause: Duration,
     /// Longest wait for a change. It bounds the time lost on a feed that fell silent.
     pub wait: Duration,
 }
@@ -82,7 +84,8 @@
                     version = page.version.max(version);
                     if !page.rows.is_empty() {
                         news(News::Changes(page.rows));
-                        sleep(table.pause).await;
+                        let runs = *shared.runs_batches.borrow();
+                        sleep(if runs { table.pause } else { table.idle_pause }).await;
                     }
                 }
                 Err(Fault::Expired) => {
--- a/components/entry/src/follow/operator.rs
+++ b/components/entry/src/follow/operator.rs
@@ -19,6 +19,7 @@
         parts: vec![String::new()],
         watches_link: true,
         pause: Duration::ZERO,
+        idle_pause: Duration::ZERO,
         wait: WAIT,
     };
     let target = shared.clone();
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -23,6 +23,7 @@
         parts: vec![String::new()],
         watches_link: false,
         pause: PAUSE,
+        idle_pause: PAUSE,
         wait: WAIT,
     };
     let target = shared.clone();
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -226,6 +226,7 @@
         parts: vec![String::new()],
         watches_link: false,
         pause: Duration::from_millis(500),
+        idle_pause: Duration::from_millis(500),
         wait: Duration::from_secs(10),
     };
     let clock = shared.clone();
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -95,6 +95,8 @@
     pub lags: Arc<watch::Sender<HashMap<String, u64>>>,
     /// Connection to the store.
     pub link: Arc<watch::Sender<Link>>,
+    /// Whether this VM runs batches.
+    pub runs_batches: Arc<watch::Sender<bool>>,
     /// Whether the process was asked to stop.
     pub stopping: Arc<watch::Sender<bool>>,
     /// Counts changes of the workers; zero until the register has been read.
@@ -117,6 +119,7 @@
             versions: Arc::new(watch::channel(HashMap::default()).0),
             lags: Arc::new(watch::channel(HashMap::default()).0),
             link: Arc::new(watch::channel(Link::default()).0),
+            runs_batches: Arc::new(watch::channel(false).0),
             stopping: Arc::new(watch::channel(false).0),
             fleet_changed: Arc::new(watch::channel(0).0),
             fleet: Arc::default(),
