--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
-use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
@@ -103,9 +102,6 @@
         let sent = shared.pool.send(self.address, request, true, shared.now());
         let (response, channel) = match timeout(HEAD_TIMEOUT, sent).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(fault)) if fault.verdict == Verdict::NotRun => {
-                return Finish::Broken(fault.reason);
-            }
             Ok(Err(fault)) => return Finish::Broken(fault.reason),
             Err(_) => return Finish::Broken("no answer in time".to_owned()),
         };
--- a/components/entry/src/batch/plan.rs
+++ b/components/entry/src/batch/plan.rs
@@ -24,8 +24,6 @@
 /// Item to dispatch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Placement {
-    /// Index of the run.
-    pub run: usize,
     /// Index of the item.
     pub item: usize,
     /// Worker.
@@ -123,5 +121,5 @@
         fleet.place(&Need { allow_slow: true, avoid: None, ..need }, engine.kv_tokens, now)
     })?;
     let priority = if wanted || is_critical { WANTED_PRIORITY } else { OTHER_PRIORITY };
-    Some(Placement { run: 0, item, worker, tokens, priority })
+    Some(Placement { item, worker, tokens, priority })
 }
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -75,8 +75,6 @@
     #[debug(skip)]
     sender: SendRequest<Body>,
     address: SocketAddr,
-    /// Whether an idle connection was reused.
-    pub reused: bool,
 }
 
 impl Pool {
@@ -92,19 +90,19 @@
         repeatable: bool,
         now: Instant,
     ) -> Result<(Response<Incoming>, Channel), Fault> {
-        let (mut sender, reused) = match self.take(address, repeatable, now) {
-            Some(sender) => (sender, true),
-            None => (connect(address).await?, false),
+        let mut sender = match self.take(address, repeatable, now) {
+            Some(sender) => sender,
+            None => connect(address).await?,
         };
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((response, Channel { sender, address, reused })),
+            Ok(response) => Ok((response, Channel { sender, address })),
             Err(mut error) => match error.take_message() {
                 // The connection had ended before; the request was not written.
                 Some(request) => {
                     let mut sender = connect(address).await?;
                     let response =
                         sender.send_request(request).await.map_err(Fault::may_have_run)?;
-                    Ok((response, Channel { sender, address, reused: false }))
+                    Ok((response, Channel { sender, address }))
                 }
                 None => Err(Fault::may_have_run(error.into_error())),
             },
--- a/components/entry/src/config/mod.rs
+++ b/components/entry/src/config/mod.rs
@@ -42,8 +42,6 @@
     pub timeout: Duration,
     /// Time within which an answer has its full worth.
     pub target_latency: Duration,
-    /// Rank, 0 first.
-    pub priority: u32,
     /// Services by share.
     pub targets: Vec<Target>,
     /// Most workers that one attempt of a caller may reach.
@@ -52,8 +50,6 @@
     pub resumable: bool,
     /// Time after acceptance at which an item may be given up.
     pub max_queue: Duration,
-    /// Time after acceptance at which all results are due.
-    pub result_deadline: Duration,
     /// Whether all events of a result must come from one weight version.
     pub single_version: bool,
 }
@@ -78,8 +74,6 @@
 pub struct Service {
     /// Service name.
     pub name: String,
-    /// Connections that a worker accepts from all VMs together.
-    pub max_connections: u32,
     /// Properties of model engines; absent for plain services.
     pub engine: Option<Engine>,
 }
--- a/components/entry/src/dialect/mod.rs
+++ b/components/entry/src/dialect/mod.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request};
 
 use crate::{
     batch::{Listed, Submission},
-    config::{Config, Kind},
+    config::Config,
     fleet::{Entry, Report},
 };
 
@@ -190,21 +190,6 @@
     fn decode_report(body: &[u8]) -> Result<Report, Malformed>;
     /// Request that carries an order.
     fn order(address: SocketAddr, order: &Order<'_>) -> Request<Bytes>;
-    /// Whether a route's kind is forwarded as a stream, for the log line of a request.
-    #[must_use]
-    fn kind(kind: Kind) -> &'static str {
-        match kind {
-            Kind::Idempotent => "idempotent",
-            Kind::AtMostOnce => "at_most_once",
-            Kind::Stream => "stream",
-            Kind::Batch => "batch",
-        }
-    }
     /// Headers of an item's request: those of the batch, the route's host and the item's id.
     fn item_headers(id: &str, host: &str, headers: &[(String, String)]) -> HeaderMap;
-    /// Status of a refusal that promises that the request did not run.
-    #[must_use]
-    fn is_refusal(status: StatusCode) -> bool {
-        matches!(status.as_u16(), 408 | 421 | 429 | 503)
-    }
 }
--- a/components/entry/src/relay/mod.rs
+++ b/components/entry/src/relay/mod.rs
@@ -151,10 +151,6 @@
         self.call(self.direct.range(range), call, Duration::ZERO, Answer::page).await
     }
 
-    async fn parts(&self, table: &'static str) -> Result<Vec<String>, Fault> {
-        self.direct.parts(table).await
-    }
-
     async fn changes(
         &self,
         table: &'static str,
--- a/components/ports/src/store/fake.rs
+++ b/components/ports/src/store/fake.rs
@@ -166,18 +166,6 @@
         Ok(Page { rows, has_more, version: state.version, now_ms: self.now_ms() })
     }
 
-    async fn parts(&self, table: &'static str) -> Result<Vec<String>, Fault> {
-        let state = self.up()?;
-        let mut parts: Vec<String> = state
-            .rows
-            .keys()
-            .filter(|key| key.table == table)
-            .map(|key| key.part.clone())
-            .collect();
-        parts.dedup();
-        Ok(parts)
-    }
-
     async fn changes(
         &self,
         table: &'static str,
--- a/components/ports/src/store/mod.rs
+++ b/components/ports/src/store/mod.rs
@@ -125,13 +125,6 @@
     /// Fails with [`Fault::Unavailable`].
     fn range(&self, range: Range) -> impl Future<Output = Result<Page, Fault>> + Send;
 
-    /// Parts of a table.
-    ///
-    /// # Errors
-    /// Fails with [`Fault::Unavailable`].
-    fn parts(&self, table: &'static str)
-    -> impl Future<Output = Result<Vec<String>, Fault>> + Send;
-
     /// Changes of a table after `version`, as soon as there is one, or none after `wait`.
     ///
     /// # Errors
