Gateway tests: keep the port of a dead address bound

The port now stays bound without listening, and a connection is refused for certain. Found by reading; the collision was not reproduced.

--- a/components/gateway/tests/verdicts.rs
+++ b/components/gateway/tests/verdicts.rs
@@ -6,18 +6,22 @@
 
 use common::{Gateway, Scripted, healthy, verdict, whole};
 use http::Method;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
-/// Address on which nothing listens.
-async fn dead_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-    listener.local_addr().expect("address")
+/// Address on which nothing listens. The port stays bound for the rest of the process, so that no
+/// server of another test gets it.
+fn dead_address() -> SocketAddr {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("binds");
+    let address = socket.local_addr().expect("address");
+    std::mem::forget(socket);
+    address
 }
 
 /// Guards against a refused connection that counts as a possible run.
 #[tokio::test]
 async fn can_prove_that_a_connect_failure_did_not_run() {
-    let gateway = Gateway::application(&[dead_address().await]).await;
+    let gateway = Gateway::application(&[dead_address()]).await;
     let response = gateway.call(Method::POST, "/s/svc/orders", "soap").await;
     assert_eq!(response.status(), 502);
     assert_eq!(verdict(&response), "not_run");
@@ -27,7 +31,7 @@
 #[tokio::test]
 async fn can_retry_a_non_idempotent_request_that_did_not_run() {
     let up = healthy("done").await;
-    let gateway = Gateway::application(&[dead_address().await, up.address]).await;
+    let gateway = Gateway::application(&[dead_address(), up.address]).await;
     for _ in 0..20 {
         let response = gateway.call(Method::POST, "/s/svc/orders", "soap").await;
         assert_eq!((response.status().as_u16(), &response.body()[..]), (200, &b"done"[..]));
