Callers' port: limits on heads, slow heads and idle connections follow the configuration

Cause: the port kept limits that were built in (32 KiB, 5 s, 60 s) whatever the operator wrote; only the limit on bodies was taken over. A deployment with larger heads or longer idle times would have refused proper requests or closed connections that callers may reuse, and a stricter one was not kept.

Change: a server takes its limits from a watch channel; open connections follow too.

--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -3,11 +3,7 @@
 use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use filbertsail_http::{
-    Body,
-    body::read,
-    server::{Handler, Limits},
-};
+use filbertsail_http::{Body, body::read, server::Handler};
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::{event::Line, metrics::CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -94,7 +90,7 @@
     }
 
     async fn body(&self, body: Incoming, config: &Config) -> Result<Bytes, Response<Body>> {
-        let limits = Limits { body_bytes: config.limits.body_bytes, ..super::LIMITS };
+        let limits = super::port_limits(&config.limits);
         read::read(body, &limits).await.map_err(|error| {
             Line::new("body_refused").with("reason", &error).info();
             let mut response = reply::json(error.status(), &error.to_string());
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -11,13 +11,14 @@
 use handler::{Front, Readiness, Scrape};
 use tokio::{
     net::TcpListener,
-    sync::oneshot,
+    sync::{oneshot, watch},
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     batch::{board::Boards, calls::Calls, rows, task},
+    config,
     dialect::Dialect,
     follow,
     relay::{self, PEERS, Peers, Relay, Tables},
@@ -30,7 +31,7 @@
 const DRAIN: Duration = Duration::from_millis(2_600);
 /// Part of the stop limit that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// Limits of the callers' port that hold before and beside those of the configuration.
+/// Limits of the callers' port until a configuration is known, and of the other ports.
 const LIMITS: Limits = Limits {
     header_timeout: Duration::from_secs(5),
     header_bytes: 32 * 1024,
@@ -93,6 +94,32 @@
     }
 }
 
+/// Limits of the callers' port as the configuration in force states them.
+fn follow_limits(shared: &Shared) -> watch::Receiver<Limits> {
+    let (sender, limits) = watch::channel(LIMITS);
+    let mut config = shared.config.subscribe();
+    tokio::spawn(async move {
+        while config.changed().await.is_ok() {
+            let stated = config.borrow_and_update().as_ref().map(|config| config.limits);
+            if let Some(stated) = stated {
+                sender.send_replace(port_limits(&stated));
+            }
+        }
+    });
+    limits
+}
+
+/// Limits of the callers' port under a configuration.
+fn port_limits(stated: &config::Limits) -> Limits {
+    Limits {
+        header_timeout: stated.header_timeout,
+        header_bytes: stated.header_bytes,
+        body_bytes: stated.body_bytes,
+        idle_timeout: stated.idle_timeout,
+        ..LIMITS
+    }
+}
+
 /// Tables that calls through a peer may name.
 const fn tables<D: Dialect>() -> &'static [&'static str] {
     const {
@@ -146,9 +173,10 @@
     let weights = tokio::spawn(weights::run::<D, _>(shared.clone(), store.clone()));
     let calls = Calls { shared: shared.clone(), store, boards, task: task.clone() };
     let closed = CancellationToken::new();
-    let front = tokio::spawn(server::serve(
+    let front = tokio::spawn(server::serve_following(
         front,
-        LIMITS,
+        None,
+        follow_limits(&shared),
         Front::<D, Relay<S>>::new(calls),
         closed.clone(),
     ));
--- a/components/http/src/server/socket.rs
+++ b/components/http/src/server/socket.rs
@@ -140,7 +140,7 @@
             ..Limits::default()
         };
         let (ours, mut theirs) = duplex(100);
-        let watch = Watch::new(limits);
+        let watch = Watch::new(tokio::sync::watch::channel(limits).1);
         let mut socket = Socket::new(ours, watch.clone());
         tokio::spawn(async move {
             let mut buffer = vec![0; rate];
--- a/components/http/src/server/watch.rs
+++ b/components/http/src/server/watch.rs
@@ -10,7 +10,10 @@
 
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 use super::Limits;
 use crate::{Body, body::Abort};
@@ -22,7 +25,7 @@
 /// State of a connection, shared by its socket, its requests and its watchdog.
 #[derive(Clone, Debug)]
 pub(crate) struct Watch {
-    limits: Limits,
+    limits: watch::Receiver<Limits>,
     state: Arc<Mutex<State>>,
 }
 
@@ -42,7 +45,7 @@
 }
 
 impl Watch {
-    pub(crate) fn new(limits: Limits) -> Self {
+    pub(crate) fn new(limits: watch::Receiver<Limits>) -> Self {
         let state = State {
             in_flight: 0,
             idle_since: Instant::now(),
@@ -54,8 +57,9 @@
         Self { limits, state: Arc::new(Mutex::new(state)) }
     }
 
-    pub(crate) fn limits(&self) -> &Limits {
-        &self.limits
+    /// Limits in force.
+    pub(crate) fn limits(&self) -> Limits {
+        *self.limits.borrow()
     }
 
     /// Notes bytes that arrived.
@@ -85,17 +89,16 @@
 
     /// Completes when the caller has exceeded a limit.
     pub(crate) async fn expired(&self) {
-        let limits = &self.limits;
-        let least = limits.idle_timeout.min(limits.header_timeout).min(limits.stall_timeout);
-        let tick = (least / 4).clamp(MIN_TICK, MAX_TICK);
         while !self.is_expired(Instant::now()) {
-            sleep(tick).await;
+            let limits = self.limits();
+            let least = limits.idle_timeout.min(limits.header_timeout).min(limits.stall_timeout);
+            sleep((least / 4).clamp(MIN_TICK, MAX_TICK)).await;
         }
     }
 
     fn is_expired(&self, now: Instant) -> bool {
         let state = self.lock();
-        let Limits { idle_timeout, header_timeout, stall_timeout, .. } = self.limits;
+        let Limits { idle_timeout, header_timeout, stall_timeout, .. } = self.limits();
         let idle = state.in_flight == 0 && now.duration_since(state.idle_since) > idle_timeout;
         let head = state.head_since.is_some_and(|since| now.duration_since(since) > header_timeout);
         // HTTP/2 holds an answer back without a blocked socket; with HTTP/1.1 the socket notices.
