Results: the last items of a step are listed together

Cause: a trainer reads twice a second and takes what is there.

Change: finished items are listed after 250 ms, when there are 16 of them, or at once when the groups that the trainer waits for are whole.

Test: can_list_the_end_of_a_step_at_once.

--- a/components/entry/src/batch/run.rs
+++ b/components/entry/src/batch/run.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use filbertsail_clock::Instant;
@@ -12,6 +13,13 @@
 use super::{Listed, Meta, Outcome, Partial, Submission, board::Board};
 use crate::fleet::{End, Fleet, Worker};
 
+/// Longest time for which finished items wait for others to share a transaction. Readers come twice a
+/// second and take what is there, so a result that shows a little earlier than the one that
+/// completes a step delays the trainer by half a second.
+const LIST_DELAY: Duration = Duration::from_millis(250);
+/// Finished items that are listed without further delay.
+const LIST_AT_ONCE: usize = 16;
+
 /// Output of an item so far, written by the task that reads it.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -126,6 +134,8 @@
     pub stored: usize,
     /// Results that wait to be stored.
     pub finished: VecDeque<Listed>,
+    /// When the first of them came.
+    finished_since: Instant,
     /// Results being stored.
     pub storing: Option<Storing>,
     /// Whether unfinished outputs are being stored.
@@ -134,6 +144,10 @@
     pub prompts: Vec<Option<Key<Worker>>>,
     /// Whether the trainer waits for each group.
     pub wanted: Vec<bool>,
+    /// Whether each group is carried over from an earlier step.
+    carried: Vec<bool>,
+    /// Items of each group that have not ended.
+    open: Vec<u32>,
     /// Tokens of an event.
     pub stride: u64,
     /// Expected tokens of output of each group's longest item.
@@ -182,10 +196,13 @@
             board: Arc::new(Board::new(Arc::clone(&submission), listed)),
             submission,
             finished: VecDeque::new(),
+            finished_since: accepted,
             storing: None,
             saving: false,
             prompts: vec![None; groups],
             wanted: vec![false; groups],
+            carried: vec![false; groups],
+            open: vec![0; groups],
             stride: 1,
             spans: vec![0; groups],
             ids,
@@ -195,9 +212,10 @@
     }
 
     fn measure_groups(&mut self) {
-        for item in &self.submission.items {
-            let span = &mut self.spans[item.group as usize];
-            *span = item.expected_tokens.max(*span);
+        for (item, slot) in self.submission.items.iter().zip(&self.slots) {
+            let group = item.group as usize;
+            self.spans[group] = item.expected_tokens.max(self.spans[group]);
+            self.open[group] += u32::from(!matches!(slot.phase, Phase::Ended));
         }
     }
 
@@ -205,8 +223,8 @@
     /// the ones that are expected to be done first.
     pub fn want_groups(&mut self, is_carried: impl Fn(&str) -> bool) {
         let mut order: Vec<usize> = (0..self.spans.len()).collect();
-        let groups = &self.submission.groups;
-        order.sort_by_key(|&group| (!is_carried(&groups[group]), self.spans[group], group));
+        self.carried = self.submission.groups.iter().map(|group| is_carried(group)).collect();
+        order.sort_by_key(|&group| (!self.carried[group], self.spans[group], group));
         for &group in order.iter().take(self.submission.wanted as usize) {
             self.wanted[group] = true;
         }
@@ -224,8 +242,32 @@
         self.ids.get(item).copied()
     }
 
+    /// Whether the groups that the trainer waits for are whole.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let whole = self.open.iter().filter(|open| **open == 0).count();
+        let mut carried = self.carried.iter().zip(&self.open).filter(|(carried, _)| **carried);
+        whole >= self.submission.wanted as usize && carried.all(|(_, open)| *open == 0)
+    }
+
+    /// Whether finished items are to be listed now.
+    ///
+    /// Load pattern: the last items of a step end within some hundred milliseconds of each other,
+    /// while its reader comes twice a second.
+    #[must_use]
+    pub fn must_list(&self, now: Instant) -> bool {
+        let finished = self.finished.len();
+        let waited = now.since(self.finished_since) >= LIST_DELAY;
+        finished > 0 && (waited || finished >= LIST_AT_ONCE || self.is_whole())
+    }
+
     /// Takes note that an item ended; the result waits to be stored.
-    pub fn end_item(&mut self, index: usize, outcome: Outcome) {
+    pub fn end_item(&mut self, index: usize, outcome: Outcome, now: Instant) {
+        if self.finished.is_empty() {
+            self.finished_since = now;
+        }
+        let group = self.submission.items[index].group as usize;
+        self.open[group] = self.open[group].saturating_sub(1);
         let slot = &mut self.slots[index];
         slot.phase = Phase::Ended;
         let partial = std::mem::take(&mut slot.output.lock().partial);
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -69,18 +69,18 @@
         match finish {
             Finish::Done => {
                 line.with("outcome", "done").info();
-                run.end_item(item, Outcome::Completed);
+                run.end_item(item, Outcome::Completed, now);
             }
             Finish::Invalid => {
                 line.with("outcome", "invalid").warn();
-                run.end_item(item, Outcome::Dead);
+                run.end_item(item, Outcome::Dead, now);
             }
             Finish::Failed => {
                 slot.failures += 1;
                 let failures = slot.failures;
                 line.with("outcome", "failed").with("failures", failures).warn();
                 if failures >= max_attempts {
-                    run.end_item(item, Outcome::Dead);
+                    run.end_item(item, Outcome::Dead, now);
                 } else {
                     slot.phase = Phase::Waiting(now.after(ITEM_RETRY));
                 }
@@ -200,7 +200,7 @@
                 .with("reason", "route removed")
                 .with("config", config.version)
                 .warn();
-            return run.end_item(item, Outcome::Dead);
+            return run.end_item(item, Outcome::Dead, now);
         };
         let Some(service) = route.service(&mut rand::rng()) else { return };
         let min_version = run.submission.min_version;
@@ -326,7 +326,7 @@
                     .with("reason", "queued too long")
                     .with("age_ms", now.since(run.accepted).as_millis())
                     .warn();
-                run.end_item(item, Outcome::Dead);
+                run.end_item(item, Outcome::Dead, now);
             }
         }
     }
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -33,7 +33,7 @@
     shared::Shared,
 };
 
-/// Time for which finished items wait for others to share a transaction.
+/// Time between two looks for finished items that are to be listed.
 const STORE_INTERVAL: Duration = Duration::from_millis(40);
 /// Pause of the feed of owners' rows at a VM that runs batches: the next one must begin at once.
 const OWNER_PAUSE: Duration = Duration::from_millis(20);
@@ -193,7 +193,7 @@
             let now = self.shared.now();
             if now.since(self.stored) >= STORE_INTERVAL {
                 self.stored = now;
-                self.store_all();
+                self.store_all(now);
             }
             if now.since(self.ticked) >= TICK {
                 self.ticked = now;
--- a/components/entry/src/batch/task/results.rs
+++ b/components/entry/src/batch/task/results.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key as Handle;
 use filbertsail_ports::store::{
     Commit, Fault, Key, MAX_ENTRIES, MAX_VALUE_BYTES, Row, Store, Transaction,
@@ -25,16 +26,16 @@
 const SAVE_EVENTS: u32 = 25;
 
 impl<D: Dialect, S: Store> Task<D, S> {
-    pub(super) fn store_all(&mut self) {
+    pub(super) fn store_all(&mut self, now: Instant) {
         let keys: Vec<Handle<Run>> = self.runs.iter().map(|(key, _)| key).collect();
         for key in keys {
-            self.store_results(key);
+            self.store_results(key, now);
         }
     }
 
-    pub(super) fn store_results(&mut self, key: Handle<Run>) {
+    pub(super) fn store_results(&mut self, key: Handle<Run>, now: Instant) {
         let Some(run) = self.runs.get_mut(key) else { return };
-        if run.storing.is_some() || run.finished.is_empty() {
+        if run.storing.is_some() || !run.must_list(now) {
             return;
         }
         run.storing = Some(next_results(run));
@@ -115,7 +116,7 @@
         run.stored += storing.results.len();
         run.board.push(storing.results);
         if !run.is_listed() {
-            return self.store_results(key);
+            return self.store_results(key, self.shared.now());
         }
         run.meta.complete = true;
         let meta = run.meta.clone();
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -75,6 +75,28 @@
     order.into_iter().map(|(_, item)| item).collect()
 }
 
+/// Guards against a reader that comes for one result just before the others which complete the
+/// step, and against results that are held back for longer than a reader can tell. Load: the last
+/// items of a step end within some hundred milliseconds.
+#[test]
+fn can_list_the_end_of_a_step_at_once() {
+    let at = Instant::from_millis;
+    let mut run = run(&[500, 600, 400, 300, 700, 800], 2, "g2");
+    assert!(!run.must_list(at(1_000)), "nothing has ended");
+    run.end_item(0, Outcome::Completed, at(1_000));
+    assert!(!run.must_list(at(1_200)));
+    assert!(run.must_list(at(1_250)));
+    for item in [1, 2, 3] {
+        run.end_item(item, Outcome::Completed, at(1_100));
+    }
+    assert!(!run.is_whole(), "two groups are whole, but the trainer waits for the carried one");
+    run.end_item(4, Outcome::Completed, at(1_150));
+    assert!(!run.must_list(at(1_150)));
+    run.end_item(5, Outcome::Completed, at(1_160));
+    assert!(run.is_whole());
+    assert!(run.must_list(at(1_160)));
+}
+
 /// Guards against a step that waits for long items which began late. Load: lengths that differ by a
 /// factor of twenty, more items than slots.
 #[test]
