Store: rows of copies that were not accepted and of VMs that are gone are deleted

Cause: a submission larger than one transaction leaves rows in the store when its owner's row is not committed: another VM was faster, the store went away or the caller left. Nothing deleted them, nor the row that each VM renews while it runs batches.

Change: each call stores its copy under a number of its own and deletes it when it was not accepted, at once if another copy was, else after 30 s, since a commit without an answer may still be made. Rows of VMs that were not renewed for 300 s are deleted by a VM that runs batches. Deleting a batch deletes the copies of all calls.

Left open: a process that dies within the 30 s leaves its copy until the batch is deleted, and for good if the batch was never accepted by any VM.

--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -5,14 +5,20 @@
 use bytes::Bytes;
 use filbertsail_clock::Instant;
 use filbertsail_http::Body;
-use filbertsail_ports::store::{Fault, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Store, Transaction};
+use filbertsail_ports::store::{
+    Fault, Key, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Store, Transaction,
+};
 use filbertsail_telemetry::event::Line;
 use http::{Response, StatusCode};
 use tokio::time::sleep;
 
 use super::{Calls, STORE_RETRY};
 use crate::{
-    batch::{Meta, Owner, Submission, rows, takeover::Adoption, task::Command},
+    batch::{
+        Meta, Owner, Submission, Writer, rows,
+        takeover::{self, Adoption},
+        task::Command,
+    },
     dialect::Dialect,
     forward::reply::{json, refuse, status},
 };
@@ -24,6 +30,12 @@
 /// it already.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Time after which the pieces of a submission that was not accepted are deleted. A commit without an
+/// answer may still be made seconds later.
+const DISCARD_AFTER: Duration = Duration::from_secs(30);
+/// Times that a failed deletion is repeated, each after the same time.
+const DISCARD_TRIES: u32 = 10;
+
 /// Why a batch was not accepted.
 enum Refusal {
     /// Nothing was kept, and it never runs.
@@ -85,11 +97,12 @@
         let pieces: Vec<Bytes> = rows::pieces(&encoded).collect();
         let runner = self.boards.runner(&submission.model, start);
         let owner = runner.unwrap_or_else(|| me.clone());
+        let writer = Writer { vm: me.vm.clone(), call: rand::random() };
         let mine = owner == me;
         let meta = Meta {
             owner: Some(owner),
             epoch: 1,
-            writer: me.clone(),
+            writer,
             chunks: u32::try_from(pieces.len()).unwrap_or(u32::MAX),
             total: u32::try_from(submission.items.len()).unwrap_or(u32::MAX),
             host: host.to_owned(),
@@ -100,11 +113,9 @@
             ended: false,
             complete: submission.items.is_empty(),
         };
-        let mut last = self.store_pieces(batch, &me, pieces, start).await?;
-        last.checks.push((rows::meta(batch), 0));
-        last.writes.push((rows::meta(batch), rows::encode(&meta)));
-        let committed = self.commit(batch, &me, last, start).await?;
-        let Some(version) = committed.filter(|_| mine) else { return Ok(()) };
+        let Some(version) = self.store(batch, &meta, pieces, start).await?.filter(|_| mine) else {
+            return Ok(());
+        };
         let adoption = Adoption {
             batch: batch.to_owned(),
             meta,
@@ -118,6 +129,27 @@
         Ok(())
     }
 
+    /// Stores a submission; returns the version of the owner's row, or nothing if another copy was
+    /// accepted before.
+    async fn store(
+        &self,
+        batch: &str,
+        meta: &Meta,
+        pieces: Vec<Bytes>,
+        start: Instant,
+    ) -> Result<Option<u64>, Refusal> {
+        // A caller that leaves ends this call anywhere.
+        let (calls, writer) = (self.clone(), meta.writer.clone());
+        let mut copy =
+            Unaccepted { calls, batch: batch.to_owned(), writer, pause: Some(DISCARD_AFTER) };
+        let mut last = self.store_pieces(batch, &meta.writer, pieces, start).await?;
+        last.checks.push((rows::meta(batch), 0));
+        last.writes.push((rows::meta(batch), rows::encode(meta)));
+        let version = self.commit(batch, &meta.writer, last, start).await?;
+        copy.pause = version.is_none().then_some(Duration::ZERO);
+        Ok(version)
+    }
+
     fn lag(&self, submission: &Submission) -> Option<u64> {
         let named = self.shared.versions.borrow().get(&submission.model).copied()?;
         named.checked_sub(submission.min_version)
@@ -128,7 +160,7 @@
     async fn store_pieces(
         &self,
         batch: &str,
-        me: &Owner,
+        writer: &Writer,
         pieces: Vec<Bytes>,
         start: Instant,
     ) -> Result<Transaction, Refusal> {
@@ -142,7 +174,7 @@
                 bytes = 0;
             }
             bytes += piece.len();
-            transaction.writes.push((rows::body(batch, me, number), piece));
+            transaction.writes.push((rows::body(batch, writer, number), piece));
         }
         Ok(transaction)
     }
@@ -163,7 +195,7 @@
     async fn commit(
         &self,
         batch: &str,
-        me: &Owner,
+        writer: &Writer,
         transaction: Transaction,
         start: Instant,
     ) -> Result<Option<u64>, Refusal> {
@@ -177,8 +209,7 @@
                         .as_ref()
                         .and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
                     // A commit of this very call whose answer was lost.
-                    let mine =
-                        meta.is_some_and(|meta| meta.epoch == 1 && meta.writer == *me && unknown);
+                    let mine = meta.is_some_and(|meta| meta.epoch == 1 && meta.writer == *writer);
                     return Ok(row.filter(|_| mine).map(|row| row.version));
                 }
                 Err(fault) => {
@@ -195,3 +226,60 @@
         }
     }
 }
+
+/// Copy of a submission whose owner's row is not committed; its rows are deleted when it is dropped.
+struct Unaccepted<S: Store> {
+    calls: Calls<S>,
+    batch: String,
+    writer: Writer,
+    /// Time until the deletion; absent once the copy is accepted.
+    pause: Option<Duration>,
+}
+
+impl<S: Store> Drop for Unaccepted<S> {
+    fn drop(&mut self) {
+        let Some(pause) = self.pause else { return };
+        let (calls, batch) = (self.calls.clone(), std::mem::take(&mut self.batch));
+        let writer = self.writer.clone();
+        tokio::spawn(async move { calls.discard(&batch, &writer, pause).await });
+    }
+}
+
+impl<S: Store> Calls<S> {
+    /// Deletes the rows of a copy that was not accepted.
+    async fn discard(&self, batch: &str, writer: &Writer, pause: Duration) {
+        sleep(pause).await;
+        for _ in 0..DISCARD_TRIES {
+            match self.try_discard(batch, writer).await {
+                Ok(0) => return,
+                Ok(rows) => {
+                    return Line::new("copy_deleted")
+                        .with("batch", batch)
+                        .with("rows", rows)
+                        .info();
+                }
+                Err(fault) => {
+                    Line::new("copy_not_deleted").with("batch", batch).with("reason", fault).info();
+                }
+            }
+            sleep(DISCARD_AFTER).await;
+        }
+    }
+
+    /// Number of rows deleted.
+    async fn try_discard(&self, batch: &str, writer: &Writer) -> Result<usize, Fault> {
+        // A commit without an answer may have been made after all.
+        if self.meta(batch).await?.is_some_and(|(meta, _)| meta.writer == *writer) {
+            return Ok(0);
+        }
+        let found = takeover::read(&self.store, rows::bodies(batch, writer)).await?;
+        let (table, count) = (rows::BODIES, found.len());
+        let keys: Vec<Key> =
+            found.into_iter().map(|row| Key { table, part: row.part, key: row.key }).collect();
+        for keys in keys.chunks(MAX_ENTRIES) {
+            let transaction = Transaction { deletes: keys.to_vec(), ..Transaction::default() };
+            self.store.transact(transaction).await?;
+        }
+        Ok(count)
+    }
+}
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -100,6 +100,16 @@
     pub incarnation: u64,
 }
 
+/// Call that has stored a copy of a submission. Each call writes rows of its own, so that those of a
+/// copy that was not accepted can be deleted at any time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Writer {
+    /// VM name.
+    pub vm: String,
+    /// Number drawn for the call.
+    pub call: u64,
+}
+
 /// Row that says who runs a batch. Its version is checked by every transaction on the batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Meta {
@@ -107,8 +117,8 @@
     pub owner: Option<Owner>,
     /// Rises with each change of the owner.
     pub epoch: u64,
-    /// VM and incarnation whose copy of the submission was accepted.
-    pub writer: Owner,
+    /// Call whose copy of the submission was accepted.
+    pub writer: Writer,
     /// Rows of the submission.
     pub chunks: u32,
     /// Number of items.
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -3,7 +3,7 @@
 //! | table | key | value |
 //! | --- | --- | --- |
 //! | `batches` | batch | [`Meta`] |
-//! | `bodies` | batch, writer, number | a piece of the [`Submission`] |
+//! | `bodies` | batch, VM, call, number | a piece of the [`Submission`] |
 //! | `results` | batch, position, number | a piece of a [`Listed`] |
 //! | `partials` | batch, item | a [`Partial`], written at a handover |
 //!
@@ -18,7 +18,7 @@
 use filbertsail_ports::store::{Key, MAX_VALUE_BYTES, Range, Row};
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{Listed, Meta, Owner, Submission};
+use super::{Listed, Meta, Submission, Writer};
 
 /// Table of owners' rows.
 pub const BATCHES: &str = "batches";
@@ -85,21 +85,27 @@
 
 /// Key of a piece of a submission.
 #[must_use]
-pub fn body(batch: &str, writer: &Owner, number: usize) -> Key {
+pub fn body(batch: &str, writer: &Writer, number: usize) -> Key {
     let key = format!("{}{number:04}", body_prefix(batch, writer));
     Key { table: BODIES, part: part(batch), key }
 }
 
-fn body_prefix(batch: &str, writer: &Owner) -> String {
-    format!("{batch}/{}/{:016x}/", writer.vm, writer.incarnation)
+fn body_prefix(batch: &str, writer: &Writer) -> String {
+    format!("{batch}/{}/{:016x}/", writer.vm, writer.call)
 }
 
 /// Range of the pieces of a submission.
 #[must_use]
-pub fn bodies(batch: &str, writer: &Owner) -> Range {
+pub fn bodies(batch: &str, writer: &Writer) -> Range {
     range(BODIES, batch, body_prefix(batch, writer))
 }
 
+/// Range of the pieces of all copies of a submission: several VMs may have begun to accept it.
+#[must_use]
+pub fn all_bodies(batch: &str) -> Range {
+    range(BODIES, batch, format!("{batch}/"))
+}
+
 /// Key of a piece of a result.
 #[must_use]
 pub fn result(batch: &str, position: usize, number: usize) -> Key {
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -20,6 +20,9 @@
 pub const SILENCE: Duration = Duration::from_millis(2_200);
 /// Time after which a row that names this process, though it runs no such batch, is taken up.
 const LOST_ANSWER: Duration = Duration::from_millis(400);
+/// Time after which the row of a VM that does not renew it is deleted. Owners count as gone after
+/// seconds; the rest is for operators who look into the store.
+const VM_RETENTION: Duration = Duration::from_secs(300);
 /// Time over which candidates spread, so that few of them meet.
 const SPREAD: Duration = Duration::from_millis(400);
 
@@ -101,6 +104,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Sign {
     incarnation: u64,
+    /// Version of the row.
+    version: u64,
     seen: Instant,
 }
 
@@ -150,8 +155,22 @@
     }
 
     /// Notes the row that a VM renews.
-    pub fn renewed(&mut self, vm: &str, incarnation: u64, now: Instant) {
-        self.vms.insert(vm.to_owned(), Sign { incarnation, seen: now });
+    pub fn renewed(&mut self, vm: &str, incarnation: u64, version: u64, now: Instant) {
+        self.vms.insert(vm.to_owned(), Sign { incarnation, version, seen: now });
+    }
+
+    /// Forgets a VM whose row was deleted.
+    pub fn forget_vm(&mut self, vm: &str) {
+        self.vms.remove(vm);
+    }
+
+    /// Other VMs that have not renewed their rows for long, with the versions of these.
+    #[must_use]
+    pub fn silent_vms(&self, now: Instant) -> Vec<(String, u64)> {
+        let silent = |(vm, sign): &(&String, &Sign)| {
+            **vm != self.me.vm && now.since(sign.seen) >= VM_RETENTION
+        };
+        self.vms.iter().filter(silent).map(|(vm, sign)| (vm.clone(), sign.version)).collect()
     }
 
     /// Whether this VM's row names an earlier process, whose batches wait for a new owner.
@@ -230,7 +249,7 @@
     let Some(owner) = &known.meta.owner else { return Some(Gone::Surely) };
     if owner == me {
         // Accepted by another VM for this one, or a commit of this one whose answer was lost.
-        let due = known.meta.writer != *me || now.since(seen) >= LOST_ANSWER;
+        let due = known.meta.writer.vm != me.vm || now.since(seen) >= LOST_ANSWER;
         return due.then_some(Gone::Surely);
     }
     if owner.vm == me.vm {
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -119,7 +119,7 @@
     }
 
     pub(super) fn vm_row(&mut self, row: &Row, now: Instant) {
-        let Some(value) = &row.value else { return };
+        let Some(value) = &row.value else { return self.register.forget_vm(&row.key) };
         let renewal: Renewal = match rows::decode(value) {
             Ok(renewal) => renewal,
             Err(error) => {
@@ -127,7 +127,7 @@
                 return;
             }
         };
-        self.register.renewed(&row.key, renewal.incarnation, now);
+        self.register.renewed(&row.key, renewal.incarnation, row.version, now);
         self.boards.renewed(&row.key, renewal.incarnation, now);
         if row.key != self.me.vm {
             self.shared.fleet().heard(rows::hash32(&row.key), &renewal.workers, now);
@@ -252,7 +252,7 @@
         }
     }
 
-    /// Deletes the rows of batches that nobody may ask for any more.
+    /// Deletes the rows of batches that nobody may ask for any more, and of VMs that are gone.
     pub(super) fn clean(&mut self, now: Instant) {
         const CLEAN_INTERVAL: Duration = Duration::from_secs(20);
         if now.since(self.cleaned) < CLEAN_INTERVAL {
@@ -267,16 +267,35 @@
             let mine = meta.owner.as_ref().is_some_and(|owner| owner.vm == self.me.vm);
             if mine || old {
                 let store = self.store.clone();
-                tokio::spawn(async move { delete(&store, &batch, &meta, version).await });
+                tokio::spawn(async move { delete(&store, &batch, version).await });
             }
         }
+        // The VMs that run batches are few, and one of them is enough.
+        if !self.runs.is_empty() {
+            for (vm, version) in self.register.silent_vms(now) {
+                let store = self.store.clone();
+                tokio::spawn(async move { delete_vm(&store, &vm, version).await });
+            }
+        }
+    }
+}
+
+/// Deletes the row of a VM that is gone.
+async fn delete_vm<S: Store>(store: &S, vm: &str, version: u64) {
+    let key = rows::vm(vm);
+    let checks = vec![(key.clone(), version)];
+    let transaction = Transaction { checks, writes: Vec::new(), deletes: vec![key] };
+    match store.transact(transaction).await {
+        Ok(_) => Line::new("vm_deleted").with("vm", vm).with("row_version", version).info(),
+        // Another VM was faster, it has come back, or the next round deletes it.
+        Err(fault) => Line::new("vm_not_deleted").with("vm", vm).with("reason", fault).info(),
     }
 }
 
 /// Deletes all rows of a batch, the owner's row last.
-async fn delete<S: Store>(store: &S, batch: &str, meta: &Meta, version: u64) {
+async fn delete<S: Store>(store: &S, batch: &str, version: u64) {
     let ranges = [
-        (rows::BODIES, rows::bodies(batch, &meta.writer)),
+        (rows::BODIES, rows::all_bodies(batch)),
         (rows::RESULTS, rows::results(batch, 0)),
         (rows::PARTIALS, rows::partials(batch)),
     ];
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -4,7 +4,7 @@
 
 use filbertsail_clock::Instant;
 use filbertsail_entry::{
-    batch::{Item, Listed, Meta, Outcome, Owner, Submission, plan, rows, run::Run},
+    batch::{Item, Listed, Meta, Outcome, Owner, Submission, Writer, plan, rows, run::Run},
     config::Engine,
     fleet::{End, Entry, Fleet},
 };
@@ -18,7 +18,7 @@
     Meta {
         owner: Some(owner()),
         epoch: 1,
-        writer: owner(),
+        writer: Writer { vm: "vm-1".to_owned(), call: 1 },
         chunks: 1,
         total: u32::try_from(total).expect("small"),
         host: "h".to_owned(),
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -1,7 +1,7 @@
 //! Which batches of other owners are taken over.
 
 use filbertsail_clock::Instant;
-use filbertsail_entry::batch::{Meta, Owner, takeover::Register};
+use filbertsail_entry::batch::{Meta, Owner, Writer, takeover::Register};
 
 fn owner(vm: &str, incarnation: u64) -> Owner {
     Owner { vm: vm.to_owned(), incarnation }
@@ -11,7 +11,7 @@
     Meta {
         owner,
         epoch: 1,
-        writer: self::owner("vm-1", 1),
+        writer: Writer { vm: "vm-1".to_owned(), call: 1 },
         chunks: 1,
         total: 1,
         host: "h".to_owned(),
@@ -37,7 +37,7 @@
 fn register() -> Register {
     let mut register = Register::new(owner("vm-2", 1));
     register.note("b", meta(Some(owner("vm-1", 1))), 10, at(1_000));
-    register.renewed("vm-1", 1, at(1_000));
+    register.renewed("vm-1", 1, 1, at(1_000));
     register
 }
 
@@ -47,7 +47,7 @@
 fn can_take_over_after_silence() {
     let mut register = register();
     assert!(due(&mut register, 0, 3_100, 3_100).is_empty());
-    register.renewed("vm-1", 1, at(3_100));
+    register.renewed("vm-1", 1, 1, at(3_100));
     assert!(due(&mut register, 0, 5_200, 5_200).is_empty());
     due(&mut register, 0, 5_400, 5_400);
     assert_eq!(due(&mut register, 0, 5_900, 5_900), ["b"]);
@@ -68,7 +68,7 @@
 #[test]
 fn can_take_over_at_once_from_an_ended_process() {
     let mut register = register();
-    register.renewed("vm-1", 2, at(1_200));
+    register.renewed("vm-1", 2, 1, at(1_200));
     due(&mut register, 0, 1_300, 1_300);
     assert_eq!(due(&mut register, 0, 1_800, 1_800), ["b"], "another incarnation");
 
@@ -130,6 +130,21 @@
     };
     assert_eq!(silent(&mut register(), 4_000), [true]);
     let mut ended = register();
-    ended.renewed("vm-1", 2, at(1_200));
+    ended.renewed("vm-1", 2, 1, at(1_200));
     assert_eq!(silent(&mut ended, 1_300), [false]);
 }
+
+/// Guards against rows of VMs that are gone and stay for good, and against the loss of a row that a
+/// VM still renews.
+#[test]
+fn can_name_the_vms_whose_rows_may_be_deleted() {
+    let mut register = Register::new(owner("vm-9", 9));
+    register.renewed("vm-1", 1, 11, at(1_000));
+    register.renewed("vm-2", 1, 12, at(1_000));
+    register.renewed("vm-9", 9, 13, at(1_000));
+    register.renewed("vm-2", 1, 14, at(200_000));
+    assert_eq!(register.silent_vms(at(300_000)), []);
+    assert_eq!(register.silent_vms(at(301_000)), [("vm-1".to_owned(), 11)]);
+    register.forget_vm("vm-1");
+    assert_eq!(register.silent_vms(at(301_000)), []);
+}
