Takeover: the rows of a batch are read at once

Cause: a step accepted by a VM that does not run it began 80 ms later than one accepted by its runner, most of it three reads of the store one after the other.

--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -311,12 +311,16 @@
         Line::new("batch_unreadable").with("batch", batch).with("reason", &error).error();
         Fault::Unavailable(error.to_string())
     };
-    let body = read(store, rows::bodies(batch, &meta.writer)).await?;
+    // A step waits for the slowest of these reads, so they are made at once.
+    let (body, results, outputs) = tokio::try_join!(
+        read(store, rows::bodies(batch, &meta.writer)),
+        read(store, rows::results(batch, 0)),
+        read(store, rows::partials(batch)),
+    )?;
     let submission = rows::decode_submission(&body, &meta).map_err(corrupt)?;
-    let results = read(store, rows::results(batch, 0)).await?;
     let listed = rows::decode_results(&results, 0).map_err(corrupt)?;
     let mut partials = Vec::new();
-    for row in read(store, rows::partials(batch)).await? {
+    for row in outputs {
         partials.push(rows::decode(row.value.as_deref().unwrap_or_default()).map_err(corrupt)?);
     }
     let submission = Arc::new(submission);
