Scale: what owners know of the workers lies in a table that only runners read

Cause: the row that an owner renews every 0.7 s carried 8 bytes for each worker and was followed by every VM; at 420 VMs, 1,000 workers and 11 runners that alone is 125 KB/s a VM, against 7 KB/s granted for control. And the usual pace of a service was computed from all workers for each placement and each look at a running item.

Change: the table loads, written in the same transaction, read by VMs that run batches every 0.7 s and with each takeover; its age follows from the store's clock. The usual pace is kept for 100 ms where a service has 64 workers or more.

Tests: can_tell_old_news_of_other_vms, can_keep_the_usual_pace_of_a_large_service.

--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -113,9 +113,10 @@
             ended: false,
             complete: submission.items.is_empty(),
         };
-        let Some(version) = self.store(batch, &meta, pieces, start).await?.filter(|_| mine) else {
-            return Ok(());
-        };
+        // A VM that ran no batch so far knows nothing of the workers.
+        let sights = async { if mine { takeover::sights(&self.store).await } else { Vec::new() } };
+        let (committed, sights) = tokio::join!(self.store(batch, &meta, pieces, start), sights);
+        let Some(version) = committed?.filter(|_| mine) else { return Ok(()) };
         let adoption = Adoption {
             batch: batch.to_owned(),
             meta,
@@ -123,6 +124,7 @@
             submission: Arc::new(submission),
             listed: Vec::new(),
             partials: Vec::new(),
+            sights,
         };
         // The task lives as long as the process.
         let _ = self.task.send(Command::Adopt(Box::new(adoption)));
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -6,6 +6,7 @@
 //! | `bodies` | batch, VM, call, number | a piece of the [`Submission`] |
 //! | `results` | batch, position, number | a piece of a [`Listed`] |
 //! | `partials` | batch, item | a [`Partial`], written at a handover |
+//! | `loads` | VM | [`Sights`](super::takeover::Sights) |
 //!
 //! All rows of a batch share a part, which follows from its identifier. The number of parts is
 //! fixed, so that a fresh VM reads all owners' rows in a few calls. Owners that run batches renew a
@@ -28,6 +29,9 @@
 pub const RESULTS: &str = "results";
 /// Table of unfinished outputs.
 pub const PARTIALS: &str = "partials";
+/// Table of what owners know of the workers. It is read by VMs that run batches and followed by none,
+/// since it grows with the workers and changes more than once a second.
+pub const LOADS: &str = "loads";
 /// Part of the rows that owners renew.
 pub const VM_PART: &str = "vm";
 /// Parts over which batches are spread. A part commits 200 transactions a second, and a batch needs
@@ -83,6 +87,19 @@
     Key { table: BATCHES, part: VM_PART.to_owned(), key: vm.to_owned() }
 }
 
+/// Key of the row in which a VM states what it knows of the workers.
+#[must_use]
+pub fn load(vm: &str) -> Key {
+    Key { table: LOADS, part: VM_PART.to_owned(), key: vm.to_owned() }
+}
+
+/// Range of what all VMs know of the workers.
+#[must_use]
+pub fn loads() -> Range {
+    let part = VM_PART.to_owned();
+    Range { table: LOADS, part, from: String::new(), to: String::new(), limit: LIMIT }
+}
+
 /// Key of a piece of a submission.
 #[must_use]
 pub fn body(batch: &str, writer: &Writer, number: usize) -> Key {
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -41,6 +41,8 @@
     pub listed: Vec<Listed>,
     /// Unfinished outputs of a handover.
     pub partials: Vec<Partial>,
+    /// What other VMs know of the workers, by VM.
+    pub sights: Vec<(String, Sights)>,
 }
 
 /// Batch to claim.
@@ -77,19 +79,25 @@
     claiming: bool,
 }
 
-/// Row that a VM with batches renews. It carries what the VM has learnt of workers, so that the
-/// owner of the next batch begins with it.
+/// Row that a VM with batches renews. Every VM follows it, so it is small.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
     /// Incarnation of the process.
     pub incarnation: u64,
     /// Rises with each renewal.
     pub number: u64,
-    /// Workers that it uses.
+}
+
+/// What a VM has learnt of workers, so that other owners place items by it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sights {
+    /// Steady clock of the store when it was written, in milliseconds.
+    pub at_ms: u64,
+    /// Workers that the VM uses.
     pub workers: Vec<Sight>,
 }
 
-/// Worker as the VM that wrote a renewal sees it.
+/// Worker as another VM sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sight {
     /// Short hash of the worker's identifier.
@@ -312,10 +320,11 @@
         Fault::Unavailable(error.to_string())
     };
     // A step waits for the slowest of these reads, so they are made at once.
-    let (body, results, outputs) = tokio::try_join!(
+    let (body, results, outputs, sights) = tokio::try_join!(
         read(store, rows::bodies(batch, &meta.writer)),
         read(store, rows::results(batch, 0)),
         read(store, rows::partials(batch)),
+        async { Ok(sights(store).await) },
     )?;
     let submission = rows::decode_submission(&body, &meta).map_err(corrupt)?;
     let listed = rows::decode_results(&results, 0).map_err(corrupt)?;
@@ -324,7 +333,30 @@
         partials.push(rows::decode(row.value.as_deref().unwrap_or_default()).map_err(corrupt)?);
     }
     let submission = Arc::new(submission);
-    Ok(Adoption { batch: batch.to_owned(), meta, version, submission, listed, partials })
+    let batch = batch.to_owned();
+    Ok(Adoption { batch, meta, version, submission, listed, partials, sights })
+}
+
+/// Reads what other VMs know of the workers; nothing while the store does not answer, since a batch
+/// runs without it too.
+pub async fn sights<S: Store>(store: &S) -> Vec<(String, Sights)> {
+    let found = match read(store, rows::loads()).await {
+        Ok(found) => found,
+        Err(fault) => {
+            Line::new("loads_unknown").with("reason", fault).info();
+            return Vec::new();
+        }
+    };
+    let decoded = found.into_iter().filter_map(|row| {
+        match rows::decode(row.value.as_deref().unwrap_or_default()) {
+            Ok(sights) => Some((row.key, sights)),
+            Err(error) => {
+                Line::new("row_corrupt").with("vm", row.key).with("reason", error).error();
+                None
+            }
+        }
+    });
+    decoded.collect()
 }
 
 /// Reads a whole range.
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -24,7 +24,7 @@
     board::Boards,
     rows,
     run::Run,
-    takeover::{Adoption, RENEW_INTERVAL, Register},
+    takeover::{Adoption, RENEW_INTERVAL, Register, Sights},
 };
 use crate::{
     config::{Config, Engine},
@@ -92,6 +92,8 @@
     },
     /// Owners' rows changed.
     News(News),
+    /// What other VMs know of the workers was read.
+    Sights(Vec<(String, Sights)>),
     /// Unfinished outputs were stored, or not.
     Saved {
         /// Batch.
@@ -221,6 +223,7 @@
             Command::Stored { run, result } => self.stored(run, result),
             Command::Saved { run, items } => self.saved(run, &items),
             Command::News(news) => self.news(news),
+            Command::Sights(sights) => self.sights(&sights),
             Command::HandOver(done) => self.hand_over(done),
         }
     }
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -13,7 +13,7 @@
     batch::{
         Meta, rows,
         run::{Phase, Run},
-        takeover::{self, Adoption, Due, Renewal},
+        takeover::{self, Adoption, Due, Renewal, Sights},
     },
     dialect::Dialect,
     follow::News,
@@ -28,7 +28,8 @@
 impl<D: Dialect, S: Store> Task<D, S> {
     pub(super) fn adopt(&mut self, adoption: Adoption) {
         let now = self.shared.now();
-        let Adoption { batch, meta, version, submission, listed, partials } = adoption;
+        let Adoption { batch, meta, version, submission, listed, partials, sights } = adoption;
+        self.sights(&sights);
         if self.names.contains_key(&batch) {
             return;
         }
@@ -129,11 +130,27 @@
         };
         self.register.renewed(&row.key, renewal.incarnation, row.version, now);
         self.boards.renewed(&row.key, renewal.incarnation, now);
-        if row.key != self.me.vm {
-            self.shared.fleet().heard(rows::hash32(&row.key), &renewal.workers, now);
+    }
+
+    /// Notes what other VMs know of the workers.
+    pub(super) fn sights(&mut self, sights: &[(String, Sights)]) {
+        let now = self.shared.now();
+        let link = *self.shared.link.borrow();
+        let mut fleet = self.shared.fleet();
+        for (vm, sights) in sights.iter().filter(|(vm, _)| *vm != self.me.vm) {
+            fleet.heard(rows::hash32(vm), &sights.workers, link.local(sights.at_ms, now), now);
         }
     }
 
+    /// Reads what other VMs know of the workers.
+    fn read_sights(&self) {
+        let (store, commands) = (self.store.clone(), self.commands.clone());
+        tokio::spawn(async move {
+            // The task lives as long as the process.
+            let _ = commands.send(Command::Sights(takeover::sights(&store).await));
+        });
+    }
+
     pub(super) fn batch_row(&mut self, row: &Row, now: Instant) {
         let batch = row.key.as_str();
         let Some(value) = &row.value else {
@@ -185,6 +202,9 @@
 
     pub(super) fn renew(&mut self, now: Instant) {
         self.renewed = Some(now);
+        if !self.runs.is_empty() {
+            self.read_sights();
+        }
         let (store, transaction) = (self.store.clone(), self.renewal(now));
         tokio::spawn(async move {
             if let Err(fault) = store.transact(transaction).await {
@@ -194,12 +214,15 @@
     }
 
     fn renewal(&self, now: Instant) -> Transaction {
-        let renewal = Renewal {
-            incarnation: self.me.incarnation,
-            number: now.as_micros(),
+        let renewal = Renewal { incarnation: self.me.incarnation, number: now.as_micros() };
+        let sights = Sights {
+            at_ms: self.shared.link.borrow().store_ms(now),
             workers: self.shared.fleet().sights(),
         };
-        let writes = vec![(rows::vm(&self.me.vm), rows::encode(&renewal))];
+        let writes = vec![
+            (rows::vm(&self.me.vm), rows::encode(&renewal)),
+            (rows::load(&self.me.vm), rows::encode(&sights)),
+        ];
         Transaction { writes, ..Transaction::default() }
     }
 
@@ -284,7 +307,8 @@
 async fn delete_vm<S: Store>(store: &S, vm: &str, version: u64) {
     let key = rows::vm(vm);
     let checks = vec![(key.clone(), version)];
-    let transaction = Transaction { checks, writes: Vec::new(), deletes: vec![key] };
+    let deletes = vec![key, rows::load(vm)];
+    let transaction = Transaction { checks, writes: Vec::new(), deletes };
     match store.transact(transaction).await {
         Ok(_) => Line::new("vm_deleted").with("vm", vm).with("row_version", version).info(),
         // Another VM was faster, it has come back, or the next round deletes it.
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -128,6 +128,7 @@
             rows::BODIES,
             rows::RESULTS,
             rows::PARTIALS,
+            rows::LOADS,
             weights::TABLE,
             PEERS,
             D::OPERATOR_TABLE,
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -30,6 +30,14 @@
 /// Part by which a full engine produces events more slowly than an empty one. Measured on a calm
 /// day: 37.5 ms between events beside 4 requests of 16 slots, 41.8 ms beside 13.
 const FULL_SLOWDOWN: f64 = 0.2;
+/// Time for which the pace of a worker as another VM has measured it counts. Workers that turn slow do
+/// so for seconds.
+const HEARD_PACE_AGE: Duration = Duration::from_secs(20);
+/// Age up to which the usual pace of a large service is not computed anew. It moves slowly, and each
+/// placement asks for it.
+const USUAL_AGE: Duration = Duration::from_millis(100);
+/// Number of workers from which a service is large in this sense.
+const LARGE: usize = 64;
 /// Time after the return of the store within which entries that lapsed meanwhile come back.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
@@ -155,7 +163,15 @@
     workers: Arena<Worker>,
     // Names come from the register, which only the platform writes.
     ids: HashMap<String, Key<Worker>>,
-    services: HashMap<String, Vec<Key<Worker>>>,
+    services: HashMap<String, Service>,
+}
+
+/// Workers of a service.
+#[derive(Debug, Default)]
+struct Service {
+    workers: Vec<Key<Worker>>,
+    /// Usual pace in milliseconds, and when it was computed.
+    usual: Option<(f64, Instant)>,
 }
 
 impl Fleet {
@@ -185,7 +201,7 @@
 
     /// Workers of a service.
     pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (Key<Worker>, &'a Worker)> {
-        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let keys = self.services.get(service).map_or(&[][..], |service| &service.workers);
         keys.iter().filter_map(|key| Some((*key, self.workers.get(*key)?)))
     }
 
@@ -257,14 +273,14 @@
             lapsed: None,
         });
         self.ids.insert(id, key);
-        self.services.entry(service).or_default().push(key);
+        self.services.entry(service).or_default().workers.push(key);
     }
 
     fn remove(&mut self, id: &str) {
         let Some(key) = self.ids.remove(id) else { return };
         let Some(worker) = self.workers.remove(key) else { return };
-        if let Some(keys) = self.services.get_mut(&worker.entry.service) {
-            keys.retain(|other| *other != key);
+        if let Some(service) = self.services.get_mut(&worker.entry.service) {
+            service.workers.retain(|other| *other != key);
         }
     }
 
@@ -314,6 +330,8 @@
             worker.pace_ms = alone_ms;
         }
         worker.pace_ms += PACE_WEIGHT * (alone_ms - worker.pace_ms);
+        let service = worker.entry.service.clone();
+        self.refresh_usual_pace(&service, now);
     }
 
     /// Expected time between two events of a stream at a worker that holds `more` requests beside
@@ -343,30 +361,51 @@
             .collect()
     }
 
-    /// Notes what the VM `vm` knows of its workers.
-    pub fn heard(&mut self, vm: u32, sights: &[Sight], now: Instant) {
+    /// Notes what the VM `vm` knew of its workers at `at`.
+    pub fn heard(&mut self, vm: u32, sights: &[Sight], at: Instant, now: Instant) {
         let sights: HashMap<u32, &Sight> =
             sights.iter().map(|sight| (sight.worker, sight)).collect();
         for (_, worker) in self.workers.iter_mut() {
             let Some(sight) = sights.get(&hash32(&worker.entry.id)) else { continue };
             // What this VM measures itself while it has items there is newer.
-            if worker.in_flight == 0 && sight.in_flight > 0 && sight.pace_ms > 0 {
+            let is_newer = worker.in_flight == 0 && sight.in_flight > 0;
+            if is_newer && sight.pace_ms > 0 && now.since(at) < HEARD_PACE_AGE {
                 worker.pace_ms = f64::from(sight.pace_ms);
             }
-            worker.heard.retain(|heard| heard.vm != vm);
-            let in_flight = u32::from(sight.in_flight);
-            worker.heard.push(Heard { vm, in_flight, at: now });
+            worker.heard.retain(|heard| heard.vm != vm && now.since(heard.at) < LOAD_AGE);
+            worker.heard.push(Heard { vm, in_flight: u32::from(sight.in_flight), at });
+        }
+        let services: Vec<String> = self.services.keys().cloned().collect();
+        for service in services {
+            self.refresh_usual_pace(&service, now);
         }
     }
 
     /// Pace of a fast worker of a service, in milliseconds: the lower quartile of those known, so
-    /// that it stays the same while up to three quarters are slow.
+    /// that it stays the same while up to three quarters are slow; zero if none is known.
     #[must_use]
     pub fn usual_pace(&self, service: &str) -> f64 {
+        let usual = self.services.get(service).and_then(|service| service.usual);
+        usual.map_or(0.0, |(pace, _)| pace)
+    }
+
+    fn refresh_usual_pace(&mut self, service: &str, now: Instant) {
+        let Some(known) = self.services.get(service) else { return };
+        let is_fresh = known.usual.is_some_and(|(_, at)| now.since(at) < USUAL_AGE);
+        if is_fresh && known.workers.len() >= LARGE {
+            return;
+        }
         let mut paces: Vec<f64> =
             self.of(service).map(|(_, worker)| worker.pace_ms).filter(|pace| *pace > 0.0).collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 4).copied().unwrap_or(0.0)
+        let quartile = paces.len() / 4;
+        if paces.is_empty() {
+            return;
+        }
+        let (_, usual, _) = paces.select_nth_unstable_by(quartile, f64::total_cmp);
+        let usual = *usual;
+        if let Some(known) = self.services.get_mut(service) {
+            known.usual = Some((usual, now));
+        }
     }
 }
 
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -99,12 +99,43 @@
     fleet.loaded(one, Load { running: 4, waiting: 0, slots: 4 }, at(0));
     assert_eq!(place(&fleet, &NEED, 10), Some("two".to_owned()));
     let sight = Sight { worker: hash32("two"), pace_ms: 40, in_flight: 4 };
-    fleet.heard(hash32("vm-2"), &[sight], at(20));
+    fleet.heard(hash32("vm-2"), &[sight], at(20), at(25));
     assert_eq!(place(&fleet, &NEED, 30), None, "both are full");
     assert!(place(&fleet, &NEED, 5_000).is_some(), "old news counts for nothing");
     assert_eq!(fleet.get(two).map(|worker| worker.load(at(30))), Some(4));
 }
 
+/// Guards against the load of a VM that stopped long ago, whose row is still there.
+#[test]
+fn can_tell_old_news_of_other_vms() {
+    let mut fleet = fleet(&["one"]);
+    let one = fleet.key("one").expect("known");
+    let sight = Sight { worker: hash32("one"), pace_ms: 90, in_flight: 4 };
+    fleet.heard(hash32("vm-2"), &[sight], at(1_000), at(60_000));
+    assert_eq!(fleet.get(one).map(|worker| worker.load(at(60_000))), Some(0));
+    assert_eq!(fleet.expected_pace(one, 0, at(60_000)), 0.0);
+    fleet.heard(hash32("vm-2"), &[sight], at(59_500), at(60_000));
+    assert_eq!(fleet.get(one).map(|worker| worker.load(at(60_000))), Some(4));
+    assert!(fleet.expected_pace(one, 0, at(60_000)) >= 90.0);
+    assert_eq!(fleet.get(one).map(|worker| worker.load(at(61_600))), Some(0));
+}
+
+/// Guards against a usual pace that is computed for each of thousands of events. Load: a service of
+/// hundreds of workers.
+#[test]
+fn can_keep_the_usual_pace_of_a_large_service() {
+    let ids: Vec<String> = (0..100).map(|index| format!("w{index}")).collect();
+    let mut fleet = fleet(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    let keys: Vec<_> = ids.iter().map(|id| fleet.key(id).expect("known")).collect();
+    fleet.paced(keys[0], 40.0, at(0));
+    for key in &keys[1..] {
+        fleet.paced(*key, 50.0, at(50));
+    }
+    assert_eq!(fleet.usual_pace("lm"), 40.0);
+    fleet.paced(keys[0], 40.0, at(100));
+    assert_eq!(fleet.usual_pace("lm"), 50.0);
+}
+
 /// Guards against a step that waits for long items on slow workers, and against long items that
 /// all go to one worker. Load: long items first, one worker in three slower.
 #[test]
