Relay: peers that the store refuses too are passed over

Cause: a VM that the store refuses asked its peers in an order that is the same on all VMs, and took the first answer, also when it said that the store refuses that peer as well. With a third of the VMs refused, every third of them stayed without the store, and all others leaned on one peer. While the store refuses everyone, each call was made twice for nothing.

Each VM has an order of its own. The longest expected output of a batch is computed once, not for each placement.

--- a/components/entry/src/batch/run.rs
+++ b/components/entry/src/batch/run.rs
@@ -152,6 +152,7 @@
     pub stride: u64,
     /// Expected tokens of output of each group's longest item.
     pub spans: Vec<u64>,
+    longest: u64,
     ids: HashMap<String, usize>,
 }
 
@@ -205,6 +206,7 @@
             open: vec![0; groups],
             stride: 1,
             spans: vec![0; groups],
+            longest: 0,
             ids,
         };
         run.measure_groups();
@@ -217,6 +219,8 @@
             self.spans[group] = item.expected_tokens.max(self.spans[group]);
             self.open[group] += u32::from(!matches!(slot.phase, Phase::Ended));
         }
+        // Asked for with each placement.
+        self.longest = self.spans.iter().copied().max().unwrap_or(0);
     }
 
     /// Marks the groups that the trainer waits for: those carried over from an earlier step, then
@@ -233,7 +237,7 @@
     /// Expected tokens of output of the longest item.
     #[must_use]
     pub fn longest(&self) -> u64 {
-        self.spans.iter().copied().max().unwrap_or(0)
+        self.longest
     }
 
     /// Index of an item.
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -68,6 +68,8 @@
     pub readiness: SocketAddr,
     /// Shared state.
     pub shared: Shared,
+    /// Other VMs, through which the store may be reached.
+    pub peers: Peers,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -152,12 +154,18 @@
     };
     let (front, readiness) = (bind(settings.callers).await?, bind(settings.readiness).await?);
     let peer_listener = bind(settings.peers).await?;
-    let peers = Peers::default();
+    let peers = Peers::new(&shared.identity.vm);
     let tables = Tables(tables::<D>());
     let direct = store;
     let store = Relay::new(direct.clone(), peers.clone(), tables);
-    let peers_task =
-        relay::run(shared.clone(), direct, peers, tables, peer_listener, CancellationToken::new());
+    let peers_task = relay::run(
+        shared.clone(),
+        direct,
+        peers.clone(),
+        tables,
+        peer_listener,
+        CancellationToken::new(),
+    );
     let peers_task = tokio::spawn(peers_task);
     let (callers, ready) = (front.local_addr()?, readiness.local_addr()?);
     Line::new("started")
@@ -210,5 +218,5 @@
             .with("took_ms", state.now().since(start).as_millis())
             .info();
     };
-    Ok(Handle { callers, readiness: ready, shared, task: tokio::spawn(run) })
+    Ok(Handle { callers, readiness: ready, shared, peers, task: tokio::spawn(run) })
 }
--- a/components/entry/src/relay/mod.rs
+++ b/components/entry/src/relay/mod.rs
@@ -92,11 +92,19 @@
         }
     }
 
-    /// Answer through a peer; nothing if no peer answers.
+    /// Answer through a peer; nothing if no peer answers. While the store refuses everyone, each
+    /// peer is asked once in a while only, so that the calls to a store in trouble do not multiply.
     async fn relay(&self, call: &Call, wait: Duration) -> Option<Answer> {
         let limit = wait + RELAY_TIMEOUT;
+        let mut refusal = None;
         for peer in self.peers.candidates(Boot.now()) {
             match timeout(limit, peer.ask(call)).await {
+                // Nothing was done: the store refuses this peer too, or the call to everyone.
+                Ok(Ok(Answer::Unavailable(reason))) => {
+                    self.peers.failed(&peer, &reason, Boot.now());
+                    refusal = Some(Answer::Unavailable(reason));
+                    continue;
+                }
                 Ok(Ok(answer)) => return Some(answer),
                 Ok(Err(error)) => self.peers.failed(&peer, &error.to_string(), Boot.now()),
                 Err(_) => self.peers.failed(&peer, "no answer in time", Boot.now()),
@@ -106,7 +114,7 @@
                 return Some(Answer::Unknown("relay broke off".to_owned()));
             }
         }
-        None
+        refusal
     }
 
     /// Sends calls through peers until a probe is answered.
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -85,13 +85,20 @@
     }
 }
 
-/// All peers, cheap to clone.
-#[derive(Clone, Debug, Default)]
+/// All peers of a VM, cheap to clone.
+#[derive(Clone, Debug)]
 pub struct Peers {
+    me: Arc<str>,
     peers: Arc<Mutex<HashMap<String, Peer>>>,
 }
 
 impl Peers {
+    /// No peers yet of the VM `me`.
+    #[must_use]
+    pub fn new(me: &str) -> Self {
+        Self { me: me.into(), peers: Arc::default() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -114,12 +121,13 @@
         let peers = self.lock();
         let usable = |peer: &&Peer| now >= peer.paused_until && now.since(peer.seen) < STALE_AFTER;
         let mut found: Vec<&Peer> = peers.values().filter(usable).collect();
-        // The one that answered last comes first, since its connection is open.
-        found.sort_by_key(|peer| (peer.paused_until, rows::hash(&peer.name)));
+        // VMs ask different peers, and each asks the same ones again, since their connections are open.
+        let draw = |peer: &&Peer| rows::hash(&format!("{}/{}", self.me, peer.name));
+        found.sort_by_cached_key(|peer| (peer.paused_until, draw(peer)));
         found.into_iter().take(MAX_TRIES).cloned().collect()
     }
 
-    /// Notes that a peer did not answer.
+    /// Notes that a peer did not answer or is refused by the store itself.
     pub fn failed(&self, peer: &Peer, reason: &str, now: Instant) {
         Line::new("peer_failed").with("peer", &peer.name).with("reason", reason).info();
         if let Some(known) = self.lock().get_mut(&peer.name) {
