--- a/components/controller/src/lib.rs
+++ b/components/controller/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod metrics;
 pub mod peers;
 pub mod plan;
+pub mod refusal;
 pub mod trainer;
 pub mod weights;
--- a/components/controller/src/peers/mod.rs
+++ b/components/controller/src/peers/mod.rs
@@ -6,16 +6,15 @@
 };
 
 use filbertsail_cluster::agent;
-use filbertsail_errors::Verdict;
 use filbertsail_ports::table::Table;
 use filbertsail_wire::{
     Frame,
-    frame::{Done, Fault, Hello},
+    frame::{Done, Hello},
     link::server::{Handler, Sender},
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::trainer::Command;
+use crate::{refusal::not_holder, trainer::Command};
 
 /// Tasks of trainers by name, as far as this controller runs them.
 #[derive(Clone, Debug, Default)]
@@ -74,19 +73,6 @@
     }
 }
 
-/// Answer of a controller that does not hold the lease.
-#[must_use]
-pub fn not_holder() -> Frame {
-    fault("not_holder", "this controller does not hold the trainer's lease")
-}
-
-/// Failure that happened before anything ran.
-#[must_use]
-pub fn fault(code: &str, message: &str) -> Frame {
-    let (code, message) = (code.to_owned(), message.to_owned());
-    Fault { code, message, verdict: Verdict::NotRun }.into()
-}
-
 /// Handler of the peer port.
 #[derive(Clone)]
 pub struct Peers<T> {
--- a/components/controller/src/trainer/deliver.rs
+++ b/components/controller/src/trainer/deliver.rs
@@ -17,7 +17,7 @@
 use super::{Command, Event, Ports, ops, term::Term};
 use crate::{
     gateways::Gateways,
-    peers::{fault, not_holder},
+    refusal::{fault, not_holder},
 };
 
 /// Time between two writes of the list of stored groups.
--- a/components/controller/src/trainer/mod.rs
+++ b/components/controller/src/trainer/mod.rs
@@ -25,7 +25,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{gateways::Gateways, metrics::Metrics, peers::not_holder, plan::Plan};
+use crate::{gateways::Gateways, metrics::Metrics, plan::Plan, refusal::not_holder};
 use term::{Carried, Term};
 
 /// Commands that wait for the task.
--- a/components/controller/src/trainer/offer.rs
+++ b/components/controller/src/trainer/offer.rs
@@ -22,7 +22,7 @@
 use super::{Event, term::Term};
 use crate::{
     gateways::Gateways,
-    peers::{fault, not_holder},
+    refusal::{fault, not_holder},
 };
 
 /// Time between two attempts to write a row.
