Takeover: claims spread over the number of VMs, one proof for all silent owners

While a part of the store refused the owners' renewals, each VM repeated its proof for each batch every 0.8 s.

Change: candidates spread over 40 ms for each VM known, 0.4 s at least. A VM renews its own row once for all silent owners and doubles the pause when that fails.

Test: can_spread_claims_over_many_vms, at 10, 81 and 420 VMs.

--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -23,8 +23,11 @@
 /// Time after which the row of a VM that does not renew it is deleted. Owners count as gone after
 /// seconds; the rest is for operators who look into the store.
 const VM_RETENTION: Duration = Duration::from_secs(300);
-/// Time over which candidates spread, so that few of them meet.
-const SPREAD: Duration = Duration::from_millis(400);
+/// Time over which candidates spread, for each VM. News of a claim reaches the other VMs within about
+/// a quarter of a second, so that some six of them meet, however many there are.
+const SPREAD_PER_VM: Duration = Duration::from_millis(40);
+/// Least time over which candidates spread.
+const LEAST_SPREAD: Duration = Duration::from_millis(400);
 
 /// Batch that this VM now owns.
 #[derive(Clone, Debug)]
@@ -195,10 +198,13 @@
     }
 
     /// Batches to claim now. The store has answered without interruption from `steady.0` on, last
-    /// at `steady.1`.
+    /// at `steady.1`; `vms` are candidates.
+    ///
+    /// Load pattern: an owner dies, and hundreds of VMs see it in the same moment.
     pub fn due(
         &mut self,
         steady: (Instant, Instant),
+        vms: usize,
         now: Instant,
         runs_here: impl Fn(&str) -> bool,
     ) -> Vec<Due> {
@@ -213,7 +219,7 @@
                 continue;
             };
             let since = *known.gone.get_or_insert(now);
-            if now >= since.after(delay(&self.me, batch, &known.meta)) {
+            if now >= since.after(delay(&self.me, batch, &known.meta, vms)) {
                 known.claiming = true;
                 due.push(Due {
                     batch: batch.clone(),
@@ -273,12 +279,13 @@
 }
 
 /// Time for which a candidate waits: none for the VM whose own process was replaced.
-fn delay(me: &Owner, batch: &str, meta: &Meta) -> Duration {
+fn delay(me: &Owner, batch: &str, meta: &Meta, vms: usize) -> Duration {
     if meta.owner.as_ref().is_some_and(|owner| owner.vm == me.vm) {
         return Duration::ZERO;
     }
     let draw = rows::hash(&format!("{batch}/{}", me.vm)) >> 32;
-    SPREAD.mul_f64(draw as f64 / f64::from(u32::MAX))
+    let spread = SPREAD_PER_VM.mul_f64(vms as f64).max(LEAST_SPREAD);
+    spread.mul_f64(draw as f64 / f64::from(u32::MAX))
 }
 
 /// Claims a batch and reads what is known of it.
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -24,12 +24,13 @@
     board::Boards,
     rows,
     run::Run,
-    takeover::{Adoption, RENEW_INTERVAL, Register, Sights},
+    takeover::{Adoption, Due, RENEW_INTERVAL, Register, Sights},
 };
 use crate::{
     config::{Config, Engine},
     dialect::Dialect,
     follow::{self, News},
+    relay::Peers,
     shared::Shared,
 };
 
@@ -54,6 +55,9 @@
     Adopt(Box<Adoption>),
     /// A claim failed.
     Unclaimed(String),
+    /// This VM has renewed its own row and may claim these batches of silent owners; none if the
+    /// renewal failed.
+    Proved(Vec<Due>),
     /// The caller has ended a batch.
     End {
         /// Batch.
@@ -110,7 +114,9 @@
     shared: Shared,
     store: S,
     boards: Boards,
+    peers: Peers,
     me: Owner,
+    failed_proofs: u32,
     commands: mpsc::UnboundedSender<Command>,
     runs: Arena<Run>,
     names: HashMap<String, Handle<Run>>,
@@ -129,6 +135,7 @@
     shared: Shared,
     store: S,
     boards: Boards,
+    peers: Peers,
 ) -> mpsc::UnboundedSender<Command> {
     let (commands, receiver) = mpsc::unbounded_channel();
     let identity = &shared.identity;
@@ -137,6 +144,8 @@
         shared: shared.clone(),
         store: store.clone(),
         boards,
+        peers,
+        failed_proofs: 0,
         register: Register::new(me.clone()),
         me,
         commands: commands.clone(),
@@ -209,6 +218,7 @@
         match command {
             Command::Adopt(adoption) => self.adopt(*adoption),
             Command::Unclaimed(batch) => self.register.unclaimed(&batch),
+            Command::Proved(silent) => self.proved(silent),
             Command::End { batch, meta, version } => {
                 // The feed may lag behind, and an open row would be claimed again.
                 let now = self.shared.now();
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -22,6 +22,8 @@
 
 /// Mean pause before a claim that failed is repeated. All VMs claim, so they must not do so in step.
 const CLAIM_RETRY: Duration = Duration::from_millis(800);
+/// Times that the pause doubles while this VM cannot renew its own row.
+const MAX_DOUBLINGS: u32 = 1;
 /// Time kept beyond the retention before rows are deleted.
 const RETENTION_SLACK: Duration = Duration::from_secs(30);
 
@@ -235,44 +237,82 @@
         else {
             return;
         };
-        let names = &self.names;
-        let due = self.register.due((since, answered), now, |batch| names.contains_key(batch));
-        for Due { batch, meta, version, is_silent } in due {
+        let (names, vms) = (&self.names, self.peers.len() + 1);
+        let steady = (since, answered);
+        let due = self.register.due(steady, vms, now, |batch| names.contains_key(batch));
+        for due in &due {
             self.shared.metrics.batch("claimed");
             Line::new("batch_claimed")
-                .with("batch", &batch)
-                .with("row_version", version)
-                .with("epoch", meta.epoch)
-                .with("owner", meta.owner.as_ref().map_or("none", |owner| owner.vm.as_str()))
-                .with("silent", is_silent)
+                .with("batch", &due.batch)
+                .with("row_version", due.version)
+                .with("epoch", due.meta.epoch)
+                .with("owner", due.meta.owner.as_ref().map_or("none", |owner| owner.vm.as_str()))
+                .with("silent", due.is_silent)
+                .with("vms", vms)
                 .info();
-            let proof = is_silent.then(|| self.renewal(now));
-            let (store, commands, me) =
-                (self.store.clone(), self.commands.clone(), self.me.clone());
-            tokio::spawn(async move {
-                let claimed = match proof {
-                    Some(proof) => store.transact(proof).await.map(|_| ()),
-                    None => Ok(()),
-                };
-                let claimed = match claimed {
-                    Ok(()) => takeover::claim(&store, &me, &batch, meta, version).await,
-                    Err(fault) => Err(fault),
-                };
-                let command = match claimed {
-                    Ok(adoption) => Command::Adopt(Box::new(adoption)),
-                    Err(fault) => {
-                        Line::new("claim_failed")
-                            .with("batch", &batch)
-                            .with("reason", fault)
-                            .info();
-                        sleep(CLAIM_RETRY.mul_f64(0.5 + rand::random::<f64>())).await;
-                        Command::Unclaimed(batch)
-                    }
-                };
-                // The task lives as long as the process.
-                let _ = commands.send(command);
-            });
         }
+        let (silent, sure): (Vec<Due>, Vec<Due>) = due.into_iter().partition(|due| due.is_silent);
+        for due in sure {
+            self.claim_one(due);
+        }
+        if !silent.is_empty() {
+            self.prove(silent, now);
+        }
+    }
+
+    /// Claims batches of silent owners after a renewal of this VM's own row. If that fails, the
+    /// owners may be silent for the same reason; looking again at once would only press a store in
+    /// trouble.
+    fn prove(&self, silent: Vec<Due>, now: Instant) {
+        let (store, commands) = (self.store.clone(), self.commands.clone());
+        let (proof, failures) = (self.renewal(now), self.failed_proofs);
+        tokio::spawn(async move {
+            let proved = store.transact(proof).await;
+            let (batches, pause) = match &proved {
+                Ok(_) => (Vec::new(), Duration::ZERO),
+                Err(fault) => {
+                    let pause = CLAIM_RETRY * 2_u32.pow(failures.min(MAX_DOUBLINGS));
+                    Line::new("proof_failed")
+                        .with("batches", silent.len())
+                        .with("failures", failures + 1)
+                        .with("pause_ms", pause.as_millis())
+                        .with("reason", fault)
+                        .info();
+                    (silent.iter().map(|due| due.batch.clone()).collect(), pause)
+                }
+            };
+            // The task lives as long as the process.
+            let _ = commands.send(Command::Proved(proved.map(|_| silent).unwrap_or_default()));
+            sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+            for batch in batches {
+                let _ = commands.send(Command::Unclaimed(batch));
+            }
+        });
+    }
+
+    /// A renewal of this VM's own row succeeded and `silent` may be claimed, or it failed.
+    pub(super) fn proved(&mut self, silent: Vec<Due>) {
+        self.failed_proofs = if silent.is_empty() { self.failed_proofs + 1 } else { 0 };
+        for due in silent {
+            self.claim_one(due);
+        }
+    }
+
+    fn claim_one(&self, due: Due) {
+        let (store, commands, me) = (self.store.clone(), self.commands.clone(), self.me.clone());
+        tokio::spawn(async move {
+            let Due { batch, meta, version, .. } = due;
+            let command = match takeover::claim(&store, &me, &batch, meta, version).await {
+                Ok(adoption) => Command::Adopt(Box::new(adoption)),
+                Err(fault) => {
+                    Line::new("claim_failed").with("batch", &batch).with("reason", fault).info();
+                    sleep(CLAIM_RETRY.mul_f64(0.5 + rand::random::<f64>())).await;
+                    Command::Unclaimed(batch)
+                }
+            };
+            // The task lives as long as the process.
+            let _ = commands.send(command);
+        });
     }
 
     /// Deletes the rows of batches that nobody may ask for any more, and of VMs that are gone.
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -30,7 +30,7 @@
 
 /// Names of the batches that are due when the store last answered at `answered`.
 fn due(register: &mut Register, steady: u64, answered: u64, now: u64) -> Vec<String> {
-    let due = register.due((at(steady), at(answered)), at(now), |_| false);
+    let due = register.due((at(steady), at(answered)), 10, at(now), |_| false);
     due.into_iter().map(|due| due.batch).collect()
 }
 
@@ -124,8 +124,8 @@
 #[test]
 fn can_tell_silence_from_an_ended_process() {
     let silent = |register: &mut Register, now| {
-        register.due((at(0), at(now)), at(now), |_| false);
-        let due = register.due((at(0), at(now + 500)), at(now + 500), |_| false);
+        register.due((at(0), at(now)), 10, at(now), |_| false);
+        let due = register.due((at(0), at(now + 500)), 10, at(now + 500), |_| false);
         due.into_iter().map(|due| due.is_silent).collect::<Vec<_>>()
     };
     assert_eq!(silent(&mut register(), 4_000), [true]);
@@ -148,3 +148,25 @@
     register.forget_vm("vm-1");
     assert_eq!(register.silent_vms(at(301_000)), []);
 }
+
+/// Guards against hundreds of claims of one batch. Load: an owner dies, and every VM sees it in the
+/// same moment; news of the first claim reaches the others a quarter of a second later.
+#[test]
+fn can_spread_claims_over_many_vms() {
+    for vms in [10, 81, 420] {
+        let mut delays: Vec<u64> = Vec::new();
+        for vm in 0..vms {
+            let mut register = Register::new(owner(&format!("vm-{vm}"), 1));
+            register.note("b", meta(None), 1, at(0));
+            let claims = |register: &mut Register, now| {
+                !register.due((at(0), at(now)), vms, at(now), |_| false).is_empty()
+            };
+            let delay = (0..).map(|step| step * 10).find(|now| claims(&mut register, *now));
+            delays.extend(delay);
+        }
+        let first = delays.iter().min().expect("a claim");
+        let meet = delays.iter().filter(|delay| **delay <= first + 250).count();
+        assert!(*first <= 250, "{vms} VMs: the first claim after {first} ms");
+        assert!(meet <= 20, "{vms} VMs: {meet} claims");
+    }
+}
