Leases: twelve candidates look all the time, the other VMs every 3 s

Cause: every VM looked at the lease of each service 1.7 times a second; at 420 VMs that is 700 reads a second for one service, of 2,000 that the store grants.

Change: a VM is a candidate if it is among the first twelve of all VMs known, in an order that follows from the lease. The others look every 3 s and never take a lease on a look older than 0.7 s. A VM that holds a lease renews it whatever its place. Deployments of up to twelve VMs behave as before.

Tests: can_choose_a_few_candidates_for_a_lease, can_look_at_a_lease_now_and_then.

--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -179,7 +179,7 @@
     tokio::spawn(follow::workers::<D, _>(shared.clone(), store.clone()));
     let boards = Boards::default();
     let task = task::start::<D, _>(shared.clone(), store.clone(), boards.clone(), peers.clone());
-    let weights = tokio::spawn(weights::run::<D, _>(shared.clone(), store.clone()));
+    let weights = tokio::spawn(weights::run::<D, _>(shared.clone(), store.clone(), peers.clone()));
     let calls = Calls { shared: shared.clone(), store, boards, task: task.clone() };
     let closed = CancellationToken::new();
     let front = tokio::spawn(server::serve_following(
--- a/components/entry/src/relay/mod.rs
+++ b/components/entry/src/relay/mod.rs
@@ -19,7 +19,7 @@
 };
 
 pub use call::{Answer, Call, Tables};
-pub use peers::{PEERS, Peers, run};
+pub use peers::{PEERS, Peers, is_among, run};
 
 /// Time after which a call without an answer makes others try a peer. A slow store answers in a
 /// few hundred milliseconds.
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -115,6 +115,12 @@
         self.len() == 0
     }
 
+    /// Whether this VM is [among](is_among) the first `count` of all VMs known.
+    #[must_use]
+    pub fn is_among(&self, scope: &str, count: usize) -> bool {
+        is_among(scope, &self.me, self.lock().keys().map(String::as_str), count)
+    }
+
     /// Peers to ask, those that failed of late left out.
     #[must_use]
     pub fn candidates(&self, now: Instant) -> Vec<Peer> {
@@ -142,6 +148,19 @@
     Range { table: PEERS, part: String::new(), from: SECRET.to_owned(), to, limit: 1 }
 }
 
+/// Whether `me` is among the first `count` of all VMs, in an order that follows from `scope` and that
+/// all VMs agree on but for those that came or went of late.
+pub fn is_among<'a>(
+    scope: &str,
+    me: &str,
+    others: impl Iterator<Item = &'a str>,
+    count: usize,
+) -> bool {
+    let draw = |vm: &str| rows::hash(&format!("{scope}/{vm}"));
+    let mine = draw(me);
+    others.filter(|vm| draw(vm) < mine).count() < count
+}
+
 /// Registers this VM, follows the others and answers their calls until `stop`.
 pub async fn run<S: Store>(
     shared: Shared,
--- a/components/entry/src/weights/lease.rs
+++ b/components/entry/src/weights/lease.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbertsail_api::table;
+use filbertsail_clock::Instant;
 use filbertsail_cluster::lease::{
     Holding, Times,
     machine::{Action, Machine},
@@ -11,7 +12,7 @@
 use filbertsail_telemetry::event::Line;
 use serde::{Deserialize, Serialize};
 
-use crate::{batch::rows, shared::Shared};
+use crate::{batch::rows, relay::Peers, shared::Shared};
 
 /// Table of leases.
 pub const TABLE: &str = "leases";
@@ -21,6 +22,39 @@
 /// Time over which candidates spread.
 const SPREAD: Duration = Duration::from_millis(600);
 
+/// VMs that look at a lease all the time. The others look now and then, so that the looks do not grow
+/// with the VMs; they take over when all of these are gone.
+const CANDIDATES: usize = 12;
+/// Time between two looks of the others.
+const STANDBY_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Age of a look up to which a decision to take the lease may rest on it.
+const FRESH: Duration = Duration::from_millis(700);
+
+/// Pace of the looks of one VM at one lease.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    looked: Option<Instant>,
+}
+
+impl Pace {
+    /// Notes a look.
+    pub fn looked(&mut self, now: Instant) {
+        self.looked = Some(now);
+    }
+
+    /// Whether a look at a lease that another VM holds may wait.
+    #[must_use]
+    pub fn may_skip(&self, is_candidate: bool, now: Instant) -> bool {
+        !is_candidate && self.looked.is_some_and(|at| now.since(at) < STANDBY_INTERVAL)
+    }
+
+    /// Whether a VM must look again before it writes.
+    #[must_use]
+    pub fn must_look(&self, is_candidate: bool, now: Instant) -> bool {
+        !is_candidate && self.looked.is_none_or(|at| now.since(at) >= FRESH)
+    }
+}
+
 /// Value of a row, with the token of its writer.
 #[derive(Debug, Serialize, Deserialize)]
 struct Value {
@@ -32,7 +66,9 @@
 pub struct Lease<S> {
     shared: Shared,
     store: S,
+    peers: Peers,
     machine: Machine,
+    pace: Pace,
     scope: String,
     attempts: u64,
     held: Option<u64>,
@@ -40,20 +76,35 @@
 
 impl<S: Store> Lease<S> {
     /// Contends for `scope`.
-    pub fn new(shared: Shared, store: S, scope: String) -> Self {
+    pub fn new(shared: Shared, store: S, peers: Peers, scope: String) -> Self {
         let times = Times { ttl: TTL, order_life: shared.times.order_gap };
         let machine = Machine::new(&scope, &shared.identity.vm, shared.identity.incarnation, times)
             .succeeding();
-        Self { shared, store, machine, scope, attempts: 0, held: None }
+        Self {
+            shared,
+            store,
+            peers,
+            machine,
+            pace: Pace::default(),
+            scope,
+            attempts: 0,
+            held: None,
+        }
     }
 
     /// Does what is due and returns the lease if it is held.
     pub async fn step(&mut self) -> Option<Holding> {
         let now = self.shared.now();
         let token = self.token();
+        // A holder renews whatever its place is.
+        let is_candidate = self.held.is_some() || self.peers.is_among(&self.scope, CANDIDATES);
+        let contends = self.machine.contends();
         match self.machine.next(now, self.delay(), token) {
             Action::Wait(_) => {}
+            Action::Look if contends && self.pace.may_skip(is_candidate, now) => {}
             Action::Look => self.look().await,
+            // The write counts as lost, and the look shows what came of the holder.
+            Action::Write(_) if self.pace.must_look(is_candidate, now) => self.look().await,
             Action::Write(transaction) => self.write(transaction).await,
         }
         let holding = self.machine.holding(self.shared.now());
@@ -104,6 +155,7 @@
         let range = Range { table: TABLE, part: String::new(), from: key, to, limit: 1 };
         let result = self.store.range(range).await;
         let now = self.shared.now();
+        self.pace.looked(now);
         match result {
             Ok(page) => {
                 let row = page.rows.into_iter().next();
--- a/components/entry/src/weights/mod.rs
+++ b/components/entry/src/weights/mod.rs
@@ -9,6 +9,6 @@
 mod plan;
 mod task;
 
-pub use lease::TABLE;
+pub use lease::{Pace, TABLE};
 pub use plan::{Action, Asked, Director, Reply, Target, View};
 pub use task::run;
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -19,6 +19,7 @@
 use crate::{
     config::{Kind, Service},
     dialect::{Dialect, Order, Swap},
+    relay::Peers,
     shared::Shared,
 };
 
@@ -30,7 +31,7 @@
 const SERVICE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs a task for each model of each service until the daemon stops.
-pub async fn run<D: Dialect, S: Store>(shared: Shared, store: S) {
+pub async fn run<D: Dialect, S: Store>(shared: Shared, store: S, peers: Peers) {
     let mut started: HashSet<String> = HashSet::default();
     let mut config = shared.config.subscribe();
     let mut tasks = Vec::new();
@@ -38,7 +39,7 @@
     while !*stopping.borrow() {
         for service in services(&shared) {
             if started.insert(service.clone()) {
-                let task = Task::<D, S>::new(shared.clone(), store.clone(), service);
+                let task = Task::<D, S>::new(shared.clone(), store.clone(), peers.clone(), service);
                 tasks.push(tokio::spawn(task.run()));
             }
         }
@@ -73,8 +74,8 @@
 }
 
 impl<D: Dialect, S: Store> Task<D, S> {
-    fn new(shared: Shared, store: S, service: String) -> Self {
-        let lease = Lease::new(shared.clone(), store, format!("weights/{service}"));
+    fn new(shared: Shared, store: S, peers: Peers, service: String) -> Self {
+        let lease = Lease::new(shared.clone(), store, peers, format!("weights/{service}"));
         Self {
             shared,
             lease,
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -4,7 +4,8 @@
 use filbertsail_clock::Instant;
 use filbertsail_entry::{
     fleet::{Entry, Fleet, Report},
-    weights::{Action, Asked, Director, Reply, Target, View},
+    relay::is_among,
+    weights::{Action, Asked, Director, Pace, Reply, Target, View},
 };
 
 fn fleet(count: usize) -> Fleet {
@@ -177,3 +178,39 @@
     let next = director.plan(&views(&fleet), &targets(2, 2), at(1_500));
     assert!(matches!(next.as_slice(), [Action::Order { expected: 1, .. }]), "{next:?}");
 }
+
+/// Guards against looks at a lease that grow with the VMs, and against none that looks. Load: hundreds
+/// of VMs, each of which knows all others but for those that came of late.
+#[test]
+fn can_choose_a_few_candidates_for_a_lease() {
+    let names: Vec<String> = (0..420).map(|vm| format!("vm-{vm}")).collect();
+    let candidates = |known: usize| {
+        let names = names.iter().take(known);
+        let is_among = |me: &&String| {
+            let others = names.clone().filter(|vm| vm != me).map(String::as_str);
+            is_among("weights/lm", me, others, 12)
+        };
+        names.clone().filter(is_among).cloned().collect::<Vec<_>>()
+    };
+    assert_eq!(candidates(9).len(), 9, "all VMs of a small deployment");
+    assert_eq!(candidates(420).len(), 12);
+    let stay = candidates(400).iter().filter(|vm| candidates(420).contains(vm)).count();
+    assert!(stay >= 8, "{stay} of 12 stay when 20 VMs are added");
+}
+
+/// Guards against a lease that is taken because of an old look, and against a VM that never looks
+/// because it is no candidate.
+#[test]
+fn can_look_at_a_lease_now_and_then() {
+    let at = Instant::from_millis;
+    let mut pace = Pace::default();
+    assert!(!pace.may_skip(false, at(0)), "the first look");
+    assert!(pace.must_look(false, at(0)));
+    pace.looked(at(100));
+    assert!(pace.may_skip(false, at(3_000)));
+    assert!(!pace.may_skip(false, at(3_100)));
+    assert!(!pace.may_skip(true, at(200)), "a candidate");
+    assert!(!pace.must_look(false, at(700)));
+    assert!(pace.must_look(false, at(800)));
+    assert!(!pace.must_look(true, at(9_000)));
+}
