--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -124,6 +124,12 @@
         let Phase::Running(running) = &mut slot.phase else { return false };
         let ended = running.successor.take_if(|successor| successor.attempt == attempt);
         let Some(successor) = ended else { return false };
+        if matches!(finish, Finish::Failed | Finish::Invalid) {
+            // What a worker states of the item counts wherever else it runs.
+            running.stop(&mut self.shared.fleet(), now);
+            slot.phase = Phase::Running(*successor);
+            return false;
+        }
         // Its time is too short to tell a busy worker from a silent one.
         let end = match finish {
             Finish::Broken(_) => End::Refused { pause: MOVE_RETRY },
