Takeover: batches do not wait for what other VMs know of the workers

Cause: the table loads lies in a part of its own. Where just that part is silent, each submission accepted by its runner and each takeover waited for it for a second and more, though all rows that they need were there.

Change: the read ends after 150 ms, and the batch begins without it. Test: can_do_without_the_loads, failed before.

--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -11,6 +11,7 @@
 use filbertsail_ports::store::{Fault, Range, Row, Store, Transaction};
 use filbertsail_telemetry::event::Line;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use super::{Listed, Meta, Owner, Partial, Submission, rows};
 
@@ -23,6 +24,9 @@
 /// Time after which the row of a VM that does not renew it is deleted. Owners count as gone after
 /// seconds; the rest is for operators who look into the store.
 const VM_RETENTION: Duration = Duration::from_secs(300);
+/// Time for reading what other VMs know of the workers, several times what the store takes. Batches
+/// must not wait for it where just that part of the store is silent.
+const SIGHTS_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time over which candidates spread, for each VM. News of a claim reaches the other VMs within about
 /// a quarter of a second, so that some six of them meet, however many there are.
 const SPREAD_PER_VM: Duration = Duration::from_millis(40);
@@ -344,10 +348,12 @@
     Ok(Adoption { batch, meta, version, submission, listed, partials, sights })
 }
 
-/// Reads what other VMs know of the workers; nothing while the store does not answer, since a batch
-/// runs without it too.
+/// Reads what other VMs know of the workers; nothing if the store does not answer at once, since a
+/// batch runs without it too.
 pub async fn sights<S: Store>(store: &S) -> Vec<(String, Sights)> {
-    let found = match read(store, rows::loads()).await {
+    let silent = |_| Fault::Unavailable("no answer in time".to_owned());
+    let found = timeout(SIGHTS_TIMEOUT, read(store, rows::loads())).await;
+    let found = match found.map_err(silent).flatten() {
         Ok(found) => found,
         Err(fault) => {
             Line::new("loads_unknown").with("reason", fault).info();
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -1,7 +1,14 @@
 //! Which batches of other owners are taken over.
 
+use std::{future::pending, time::Duration};
+
 use filbertsail_clock::Instant;
-use filbertsail_entry::batch::{Meta, Owner, Writer, takeover::Register};
+use filbertsail_entry::batch::{
+    Meta, Owner, Writer, rows,
+    takeover::{self, Register},
+};
+use filbertsail_ports::store::{Commit, Fault, Page, Range, Store, Transaction, fake::Fake};
+use tokio::time::timeout;
 
 fn owner(vm: &str, incarnation: u64) -> Owner {
     Owner { vm: vm.to_owned(), incarnation }
@@ -170,3 +177,38 @@
         assert!(meet <= 20, "{vms} VMs: {meet} claims");
     }
 }
+
+/// Store whose part with the loads is silent, while it serves all others.
+#[derive(Clone, Default)]
+struct SilentLoads(Fake);
+
+impl Store for SilentLoads {
+    async fn transact(&self, transaction: Transaction) -> Result<Commit, Fault> {
+        self.0.transact(transaction).await
+    }
+
+    async fn range(&self, range: Range) -> Result<Page, Fault> {
+        match range.table {
+            rows::LOADS => pending().await,
+            _ => self.0.range(range).await,
+        }
+    }
+
+    async fn changes(
+        &self,
+        table: &'static str,
+        version: u64,
+        wait: Duration,
+    ) -> Result<Page, Fault> {
+        self.0.changes(table, version, wait).await
+    }
+}
+
+/// Guards against submissions and takeovers that wait for what other VMs know of the workers, though
+/// all rows that they need are there.
+#[tokio::test(start_paused = true)]
+async fn can_do_without_the_loads() {
+    let store = SilentLoads::default();
+    let sights = timeout(Duration::from_millis(200), takeover::sights(&store)).await;
+    assert_eq!(sights, Ok(Vec::new()));
+}
