Reward calls: items are listed with the score of their finished text

Change: a reward call is decoded and stored with its item. A complete text leaves its engine, waits in a phase of its own, and is listed with the signature of a complete 2xx response to its call. A text that waits for a second is saved, so that a takeover repeats the call only. Rows without reward calls keep their bytes.

--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -93,7 +93,7 @@
             vm: self.shared.identity.vm.clone(),
             incarnation: self.shared.identity.incarnation,
         };
-        let encoded = rows::encode(&submission);
+        let encoded = rows::encode_submission(&submission);
         let chunks: Vec<Bytes> = rows::chunks(&encoded).collect();
         let active_owner = self.directory.active_owner(&submission.model, start);
         let owner = active_owner.unwrap_or_else(|| local_owner.clone());
--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -10,7 +10,7 @@
 use filbertsail_collections::{HashMap, arena::Key};
 use tokio::{sync::watch, task::AbortHandle};
 
-use super::{Meta, Outcome, Partial, Record, Submission, listing::Listing};
+use super::{Meta, Outcome, Partial, Record, Submission, listing::Listing, reward::Scoring};
 use crate::fleet::{End, Fleet, Worker};
 
 /// Longest delay of finished results that wait to share a transaction. Readers poll twice a second
@@ -53,6 +53,8 @@
     Waiting(Instant),
     /// Runs on a worker.
     Running(Assignment),
+    /// The output is complete and waits for its score.
+    Scoring(Scoring),
     /// Ended; its result is stored or waits to be.
     Ended,
 }
@@ -102,7 +104,8 @@
     pub avoid: Option<Key<Worker>>,
     /// Attempts started.
     pub attempts: u32,
-    /// Events of the output that are saved in the store.
+    /// Events of the output that are saved in the store. The end of an output that waits for its
+    /// score counts as one.
     pub saved_events: u32,
 }
 
@@ -177,8 +180,12 @@
         let mut states: Vec<State> = submission.items.iter().map(|_| State::default()).collect();
         for partial in partials {
             if let Some(&index) = indexes.get(&partial.id) {
-                states[index].saved_events = partial.events;
-                states[index].output = Output::new(partial);
+                let state = &mut states[index];
+                state.saved_events = partial.saved_events();
+                if partial.is_complete {
+                    state.phase = Phase::Scoring(Scoring::new(accepted_at));
+                }
+                state.output = Output::new(partial);
             }
         }
         for result in &results {
@@ -275,6 +282,16 @@
         unstored > 0 && (is_overdue || unstored >= FLUSH_COUNT || self.has_wanted_groups())
     }
 
+    /// Handles the complete output of an item, which ends it unless it has a reward call.
+    pub fn output_complete(&mut self, index: usize, now: Instant) {
+        if self.submission.items[index].reward.is_none() {
+            return self.finish_item(index, Outcome::Completed, now);
+        }
+        let state = &mut self.states[index];
+        state.output.lock().partial.is_complete = true;
+        state.phase = Phase::Scoring(Scoring::new(now));
+    }
+
     /// Ends an item and queues its result for the store.
     pub fn finish_item(&mut self, index: usize, outcome: Outcome, now: Instant) {
         if self.unstored.is_empty() {
@@ -287,12 +304,26 @@
         let partial = std::mem::take(&mut state.output.lock().partial);
         let mut versions = partial.versions;
         versions.sort_unstable();
-        let text = if outcome == Outcome::Completed { partial.text } else { String::new() };
-        let versions = if outcome == Outcome::Completed { versions } else { Vec::new() };
+        let (text, versions) = match outcome {
+            Outcome::Completed | Outcome::Scored(_) => (partial.text, versions),
+            Outcome::Dead => (String::new(), Vec::new()),
+        };
         let id = self.submission.items[index].id.clone();
         self.unstored.push_back(Record { id, outcome, text, versions });
     }
 
+    /// Whether an output waits for its score.
+    #[must_use]
+    pub fn has_unscored_items(&self) -> bool {
+        self.states.iter().any(|state| matches!(state.phase, Phase::Scoring(_)))
+    }
+
+    /// Number of items of a group without a result.
+    #[must_use]
+    pub fn unfinished_in_group(&self, group: usize) -> u32 {
+        self.unfinished_by_group[group]
+    }
+
     /// Whether every item has ended.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -10,6 +10,7 @@
 pub mod execution;
 pub mod listing;
 pub mod plan;
+pub mod reward;
 pub mod rows;
 pub mod takeover;
 pub mod task;
@@ -31,6 +32,9 @@
     pub max_tokens: u64,
     /// Output length in tokens as the caller estimates it, often far off.
     pub expected_tokens: u64,
+    /// Request that scores the finished output; stored after the items, see [`rows`].
+    #[serde(skip)]
+    pub reward: Option<reward::Call>,
 }
 
 /// Batch as submitted by a caller.
@@ -50,12 +54,14 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The output is complete.
     Completed,
     /// The item was given up.
     Dead,
+    /// The output is complete and has this score.
+    Scored(String),
 }
 
 /// Result of an item. Its position in the batch never changes.
@@ -83,6 +89,19 @@
     pub text: String,
     /// Weight versions that generated the events.
     pub versions: Vec<u64>,
+    /// Whether the output is complete and only its score is missing; stored as the last byte, see
+    /// [`rows`].
+    #[serde(skip)]
+    pub is_complete: bool,
+}
+
+impl Partial {
+    /// Number of events that a row with this output saves; the end of a complete output counts as
+    /// one.
+    #[must_use]
+    pub fn saved_events(&self) -> u32 {
+        self.events + u32::from(self.is_complete)
+    }
 }
 
 /// Process that owns a batch.
--- /dev/null
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -0,0 +1,160 @@
+//! One attempt at a reward call.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use filbertsail_collections::arena::Key;
+use filbertsail_http::Body;
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::Call;
+use crate::{
+    dialect::{Dialect, Dispatch},
+    fleet::{End, Worker},
+    shared::Shared,
+};
+
+/// Pause before a worker that refused a call gets new requests: about as long as a slot stays busy.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before a worker gets new requests after another instance answered at its address.
+const MISDIRECTED_PAUSE: Duration = Duration::from_secs(2);
+/// Largest response body that is read. Only its end matters, since the score is in the head.
+const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finish {
+    /// The complete response arrived, with this score.
+    Scored(String),
+    /// The worker reported a failure of the call.
+    Failed,
+    /// The worker reported that the call is invalid; a retry cannot succeed.
+    Invalid,
+    /// The worker did not run the call; it gets no new requests for the given time.
+    Refused(Duration),
+    /// No response, a wrong one, or one that broke off, with the reason.
+    Broken(String),
+}
+
+impl Finish {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Scored(_) => "scored",
+            Self::Failed => "failed",
+            Self::Invalid => "invalid",
+            Self::Refused(_) => "refused",
+            Self::Broken(_) => "broken",
+        }
+    }
+
+    /// What the end of the attempt means for the health of its worker. Some calls fail at every
+    /// worker, so a reported failure says nothing about the worker.
+    #[must_use]
+    pub fn worker_end(&self) -> End {
+        match self {
+            Self::Scored(_) => End::Success,
+            Self::Failed | Self::Invalid => End::Inconclusive,
+            Self::Refused(pause) => End::Refused { pause: *pause },
+            Self::Broken(_) => End::Failure,
+        }
+    }
+}
+
+/// Parameters of an attempt.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub worker: Key<Worker>,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// Instance identifier of the worker.
+    pub instance: String,
+    pub call: Call,
+    /// Time until the item is given up, which is passed to the worker.
+    pub time_left: Duration,
+    /// Timeout of the attempt.
+    pub limit: Duration,
+}
+
+impl Attempt {
+    /// Sends the call and reads the response.
+    pub async fn run<D: Dialect>(self, shared: &Shared) -> Finish {
+        match timeout(self.limit, self.exchange::<D>(shared)).await {
+            Ok(finish) => finish,
+            Err(_) => Finish::Broken("no complete response before the timeout".to_owned()),
+        }
+    }
+
+    async fn exchange<D: Dialect>(&self, shared: &Shared) -> Finish {
+        let Some(request) = self.request::<D>() else {
+            return Finish::Broken("path is not a valid URI".to_owned());
+        };
+        let result = shared.pool.send(self.address, request, true, shared.now()).await;
+        let (response, connection) = match result {
+            Ok(exchange) => exchange,
+            Err(fault) => return Finish::Broken(fault.to_string()),
+        };
+        let answer = D::decode_answer(response.headers());
+        if answer.id.as_ref().is_some_and(|id| id.as_bytes() != self.call.id.as_bytes()) {
+            return Finish::Broken("response to another request".to_owned());
+        }
+        if let Some(load) = answer.load {
+            shared.fleet().record_load(self.worker, load, shared.now());
+        }
+        match response.status() {
+            StatusCode::MISDIRECTED_REQUEST => return Finish::Refused(MISDIRECTED_PAUSE),
+            _ if answer.not_run => return Finish::Refused(REFUSAL_PAUSE),
+            _ if answer.id.is_none() || !answer.is_genuine => {
+                return Finish::Broken("not the worker's own response".to_owned());
+            }
+            StatusCode::INTERNAL_SERVER_ERROR => return Finish::Failed,
+            StatusCode::UNPROCESSABLE_ENTITY => return Finish::Invalid,
+            status if !status.is_success() => {
+                return Finish::Broken(format!("unexpected status {}", status.as_u16()));
+            }
+            _ => {}
+        }
+        let score = answer.signature.as_ref().and_then(|score| score.to_str().ok());
+        let Some(score) = score.filter(|score| !score.is_empty()) else {
+            return Finish::Broken("response has no readable score".to_owned());
+        };
+        if let Err(reason) = read_to_end(response.into_body()).await {
+            return Finish::Broken(reason);
+        }
+        shared.pool.keep(connection, answer.keep_alive, shared.now());
+        Finish::Scored(score.to_owned())
+    }
+
+    fn request<D: Dialect>(&self) -> Option<Request<Body>> {
+        let body = Body::full(Bytes::copy_from_slice(&self.call.body));
+        let mut request =
+            Request::builder().method(Method::POST).uri(&self.call.path).body(body).ok()?;
+        let headers = request.headers_mut();
+        *headers = D::item_headers(&self.call.id, &self.call.host, &[]);
+        let dispatch = Dispatch {
+            instance: &self.instance,
+            time_left: Some(self.time_left),
+            last_event: None,
+            priority: None,
+        };
+        D::set_dispatch_headers(headers, &dispatch);
+        Some(request)
+    }
+}
+
+/// Reads a response body up to its end and drops it.
+async fn read_to_end(mut body: Incoming) -> Result<(), String> {
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        if bytes > MAX_RESPONSE_BYTES {
+            return Err("response is too long".to_owned());
+        }
+    }
+    Ok(())
+}
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -12,6 +12,10 @@
 //! All rows of a batch are in one part, which is derived from its identifier. The number of parts
 //! is fixed, so that a new VM reads all owners' rows in a few calls. The heartbeats are in
 //! `batches` too, so that one feed delivers both.
+//!
+//! A submission with reward calls and the output of an item that waits for its score have an
+//! extension after the value. Without one the bytes are those of earlier versions, which ignore an
+//! extension.
 
 use std::hash::{Hash, Hasher};
 
@@ -20,7 +24,7 @@
 use filbertsail_ports::store::{Key, MAX_VALUE_BYTES, Range, Row};
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{Meta, Record, Submission, Writer};
+use super::{Meta, Partial, Record, Submission, Writer, reward};
 
 /// Table of owners' rows and heartbeats.
 pub const BATCHES_TABLE: &str = "batches";
@@ -243,5 +247,55 @@
     }
     let bytes: Vec<u8> =
         rows.iter().flat_map(|row| row.value.as_deref().unwrap_or_default()).copied().collect();
-    decode(&bytes)
+    let (mut submission, calls): (Submission, Calls) = decode_extended(&bytes)?;
+    for (index, call) in calls {
+        let item = submission.items.get_mut(index as usize);
+        let item = item.ok_or_else(|| DecodeError(format!("no item {index} for a reward call")))?;
+        item.reward = Some(call);
+    }
+    Ok(submission)
+}
+
+/// Reward calls of a submission, by the index of their item.
+type Calls = Vec<(u32, reward::Call)>;
+
+/// Encodes a submission, which may need several chunks.
+#[must_use]
+pub fn encode_submission(submission: &Submission) -> Bytes {
+    let calls: Calls = (0..)
+        .zip(&submission.items)
+        .filter_map(|(index, item)| Some((index, item.reward.clone()?)))
+        .collect();
+    encode_extended(submission, (!calls.is_empty()).then_some(&calls))
+}
+
+/// Encodes the output of an unfinished item.
+#[must_use]
+pub fn encode_partial(partial: &Partial) -> Bytes {
+    encode_extended(partial, partial.is_complete.then_some(&true))
+}
+
+/// Decodes the output of an unfinished item.
+///
+/// # Errors
+/// Fails if the bytes are not such an output.
+pub fn decode_partial(bytes: &[u8]) -> Result<Partial, DecodeError> {
+    let (partial, is_complete) = decode_extended(bytes)?;
+    Ok(Partial { is_complete, ..partial })
+}
+
+fn encode_extended<T: Serialize, E: Serialize>(value: &T, extension: Option<&E>) -> Bytes {
+    let Some(extension) = extension else { return encode(value) };
+    [encode(value), encode(extension)].concat().into()
+}
+
+/// Decodes a value and the extension after it; without one, it has its default value.
+fn decode_extended<T: DeserializeOwned, E: DeserializeOwned + Default>(
+    bytes: &[u8],
+) -> Result<(T, E), DecodeError> {
+    let (value, length) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map_err(|error| DecodeError(error.to_string()))?;
+    let rest = &bytes[length..];
+    let extension = if rest.is_empty() { E::default() } else { decode(rest)? };
+    Ok((value, extension))
 }
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -355,7 +355,8 @@
     let results = rows::decode_results(&results, 0).map_err(corrupt)?;
     let mut partials = Vec::new();
     for row in outputs {
-        partials.push(rows::decode(row.value.as_deref().unwrap_or_default()).map_err(corrupt)?);
+        let value = row.value.as_deref().unwrap_or_default();
+        partials.push(rows::decode_partial(value).map_err(corrupt)?);
     }
     let submission = Arc::new(submission);
     let batch = batch.to_owned();
--- a/components/entry/src/batch/task/handover.rs
+++ b/components/entry/src/batch/task/handover.rs
@@ -102,7 +102,7 @@
             continue;
         }
         partial.id.clone_from(&execution.submission.items[item].id);
-        let value = rows::encode(&partial);
+        let value = rows::encode_partial(&partial);
         // A longer output does not fit into a row; its item restarts from the beginning.
         if value.len() > MAX_VALUE_BYTES {
             continue;
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -82,7 +82,7 @@
         match finish {
             Finish::Done => {
                 line.with("outcome", "done").info();
-                execution.finish_item(item, Outcome::Completed, now);
+                execution.output_complete(item, now);
             }
             Finish::Invalid => {
                 line.with("outcome", "invalid").warn();
@@ -348,10 +348,13 @@
                 if now.since(execution.accepted_at) < route.max_queue {
                     break;
                 }
-                match &execution.states[item].phase {
+                match &mut execution.states[item].phase {
                     Phase::Ended => continue,
                     Phase::Waiting(_) => {}
                     Phase::Running(assignment) => assignment.stop(&mut fleet, now),
+                    Phase::Scoring(scoring) => {
+                        scoring.stop(&mut fleet, Duration::MAX, now, 0.0);
+                    }
                 }
                 Line::new("item_given_up")
                     .with("item", &execution.submission.items[item].id)
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -4,6 +4,7 @@
 mod items;
 mod ownership;
 mod results;
+mod rewards;
 
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
     attempt::Finish,
     execution::Execution,
     listing::Directory,
-    rows,
+    reward, rows,
     takeover::{Acquisition, HEARTBEAT_INTERVAL, Observations, Registry, Target},
 };
 use crate::{
@@ -84,6 +85,15 @@
         /// Number of the attempt.
         attempt: u64,
     },
+    /// An attempt at an item's reward call ended.
+    CallEnded {
+        execution: Handle<Execution>,
+        /// Index of the item.
+        item: usize,
+        /// Number of the attempt.
+        attempt: u64,
+        finish: reward::attempt::Finish,
+    },
     /// A transaction with results finished.
     ResultsStored { execution: Handle<Execution>, result: Result<Commit, Fault> },
     /// Rows of the `batches` table changed.
@@ -113,6 +123,8 @@
     execution_keys: HashMap<String, Handle<Execution>>,
     registry: Registry,
     last_attempt: u64,
+    /// Usual times of reward calls, by route.
+    call_paces: HashMap<String, reward::Pace>,
     heartbeat_at: Option<Instant>,
     ticked_at: Instant,
     flushed_at: Instant,
@@ -143,6 +155,7 @@
         executions: Arena::default(),
         execution_keys: HashMap::default(),
         last_attempt: 0,
+        call_paces: HashMap::default(),
         heartbeat_at: None,
         ticked_at: Instant::default(),
         flushed_at: Instant::default(),
@@ -202,6 +215,7 @@
                 self.tick(now);
             }
             self.dispatch_items(now);
+            self.dispatch_calls(now);
         }
     }
 
@@ -223,6 +237,9 @@
             Command::SuccessorAdmitted { execution, item, attempt } => {
                 self.successor_admitted(execution, item, attempt)
             }
+            Command::CallEnded { execution, item, attempt, finish } => {
+                self.call_ended(execution, item, attempt, finish);
+            }
             Command::ResultsStored { execution, result } => self.results_stored(execution, result),
             Command::PartialsSaved { execution, items } => self.partials_saved(execution, &items),
             Command::RowsChanged(update) => self.rows_changed(update),
@@ -247,7 +264,7 @@
         }
         self.give_up_overdue_items(now);
         self.move_slow_items(now);
-        self.save_partials();
+        self.save_partials(now);
         self.drop_expired(now);
         self.claim_due_batches(now);
         self.delete_expired_rows(now);
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -97,10 +97,15 @@
 
     pub(super) fn abort_all_items(&self, execution: &mut Execution) {
         let now = self.shared.now();
+        let mut fleet = self.shared.fleet();
         for state in &mut execution.states {
-            if let Phase::Running(assignment) = &state.phase {
-                assignment.stop(&mut self.shared.fleet(), now);
-                state.phase = Phase::Waiting(now);
+            match &mut state.phase {
+                Phase::Running(assignment) => {
+                    assignment.stop(&mut fleet, now);
+                    state.phase = Phase::Waiting(now);
+                }
+                Phase::Scoring(scoring) => scoring.stop(&mut fleet, Duration::MAX, now, 0.0),
+                Phase::Waiting(_) | Phase::Ended => {}
             }
         }
     }
--- a/components/entry/src/batch/task/results.rs
+++ b/components/entry/src/batch/task/results.rs
@@ -25,6 +25,9 @@
 pub(super) const MAX_BYTES_PER_TRANSACTION: usize = 600 * 1024;
 /// New events after which a partial output is saved again: about one second of output.
 const SAVE_INTERVAL_EVENTS: u32 = 25;
+/// Time that a complete output waits for its score before it is saved. Most scores arrive sooner,
+/// and saving each output would store every text twice.
+const UNSCORED_SAVE_DELAY: Duration = Duration::from_secs(1);
 
 impl<D: Dialect, S: Store> Task<D, S> {
     pub(super) fn flush_all_results(&mut self, now: Instant) {
@@ -135,7 +138,7 @@
     }
 
     /// Periodically saves outputs of running items, so that another owner can resume them.
-    pub(super) fn save_partials(&mut self) {
+    pub(super) fn save_partials(&mut self, now: Instant) {
         if self.shared.link.borrow().lost.is_some() {
             return;
         }
@@ -145,7 +148,7 @@
             if execution.is_saving {
                 continue;
             }
-            let (items, transaction) = unsaved_partials(&batch, execution);
+            let (items, transaction) = unsaved_partials(&batch, execution, now);
             if items.is_empty() {
                 continue;
             }
@@ -180,7 +183,11 @@
 }
 
 /// Outputs with enough new events to be saved, as many as fit into one transaction.
-fn unsaved_partials(batch: &str, execution: &Execution) -> (Vec<(usize, u32)>, Transaction) {
+fn unsaved_partials(
+    batch: &str,
+    execution: &Execution,
+    now: Instant,
+) -> (Vec<(usize, u32)>, Transaction) {
     let (mut items, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
     for (item, state) in execution.states.iter().enumerate() {
         if matches!(state.phase, Phase::Ended) {
@@ -190,15 +197,22 @@
         let partial = &progress.partial;
         let is_full =
             writes.len() >= MAX_RESULTS_PER_TRANSACTION || bytes > MAX_BYTES_PER_TRANSACTION;
-        if is_full || partial.events < state.saved_events + SAVE_INTERVAL_EVENTS {
+        let is_due = match &state.phase {
+            Phase::Scoring(scoring) => {
+                partial.saved_events() > state.saved_events
+                    && now.since(scoring.since) >= UNSCORED_SAVE_DELAY
+            }
+            _ => partial.events >= state.saved_events + SAVE_INTERVAL_EVENTS,
+        };
+        if is_full || !is_due {
             continue;
         }
         let id = execution.submission.items[item].id.clone();
-        let value = rows::encode(&Partial { id, ..partial.clone() });
+        let value = rows::encode_partial(&Partial { id, ..partial.clone() });
         // A longer output does not fit into a row; the last saved one stays.
         if value.len() <= MAX_VALUE_BYTES {
             bytes += value.len();
-            items.push((item, partial.events));
+            items.push((item, partial.saved_events()));
             writes.push((rows::partial_key(batch, item), value));
         }
     }
--- a/components/entry/src/dialect/mod.rs
+++ b/components/entry/src/dialect/mod.rs
@@ -85,8 +85,10 @@
     pub version: Option<u64>,
     /// How long the worker keeps an idle connection open.
     pub keep_alive: Option<Duration>,
-    /// Whether the response has the worker's stamp and no content encoding added on the way.
+    /// Whether the response has the worker's signature and no content encoding added on the way.
     pub is_genuine: bool,
+    /// The worker's signature of the response. For a reward call, it is the score.
+    pub signature: Option<HeaderValue>,
 }
 
 /// Load that a worker states in a response.
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -105,12 +105,18 @@
     /// Number of requests known to be in progress there, including those of other VMs.
     #[must_use]
     pub fn load(&self, now: Instant) -> u32 {
-        let usages = self.stated_by_peers.iter().filter(|usage| now.since(usage.at) < MAX_LOAD_AGE);
+        self.recent_load(MAX_LOAD_AGE, now)
+    }
+
+    /// Like [`Worker::load`], without statements about other VMs that are `max_age` old.
+    #[must_use]
+    fn recent_load(&self, max_age: Duration, now: Instant) -> u32 {
+        let usages = self.stated_by_peers.iter().filter(|usage| now.since(usage.at) < max_age);
         let newest = usages.clone().map(|usage| usage.at).max();
         let of_peers: u32 = usages.map(|usage| usage.in_flight).sum();
         // Uses the newer of the two sources.
         let stated = self.stated_by_worker.filter(|(_, at)| {
-            now.since(*at) < MAX_LOAD_AGE && newest.is_none_or(|newest| *at >= newest)
+            now.since(*at) < max_age && newest.is_none_or(|newest| *at >= newest)
         });
         self.in_flight + stated.map_or(of_peers, |(others, _)| others)
     }
--- a/components/entry/src/fleet/request.rs
+++ b/components/entry/src/fleet/request.rs
@@ -1,8 +1,10 @@
-//! Choice of a worker for a forwarded request.
+//! Choice of a worker for a forwarded request or a reward call.
 //!
 //! The worker with the lowest expected wait is chosen. A worker in another zone must save more than
 //! the traffic between zones costs.
 
+use std::time::Duration;
+
 use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
 use rand::{Rng, RngExt};
@@ -15,6 +17,9 @@
 const FAILURE_PENALTY: f64 = 2.0;
 /// Range of the random cost that keeps many VMs from choosing the same worker.
 const RANDOM_COST_RANGE: f64 = 0.05;
+/// Age up to which a stated load counts for the room at a worker. Requests of plain services last
+/// a few hundred milliseconds at most, and a full worker must be tried again once they have ended.
+const MAX_ROOM_AGE: Duration = Duration::from_millis(500);
 
 /// Criteria for the worker of a request.
 #[derive(Clone, Copy, Debug)]
@@ -33,22 +38,49 @@
         criteria: Criteria<'_>,
         now: Instant,
         rng: &mut R,
+    ) -> Option<Key<Worker>> {
+        self.cheapest(criteria, rng, |worker| {
+            if worker.entry.draining {
+                return None;
+            }
+            let penalty = if worker.is_usable(now) { 0.0 } else { 1_000.0 };
+            Some(worker.relative_load(worker.load(now)) + penalty)
+        })
+    }
+
+    /// Chooses a usable worker with fewer requests than `limit` returns for its slots; none if all
+    /// are full.
+    pub fn choose_with_room<R: Rng>(
+        &self,
+        criteria: Criteria<'_>,
+        limit: impl Fn(u32) -> u32,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<Key<Worker>> {
+        self.cheapest(criteria, rng, |worker| {
+            let load = worker.recent_load(MAX_ROOM_AGE, now);
+            let has_room = worker.is_usable(now) && load < limit(worker.entry.slots);
+            has_room.then(|| worker.relative_load(load))
+        })
+    }
+
+    /// Untried worker of a service with the lowest cost; `load_cost` returns the share of it that
+    /// follows from the load, or nothing if the worker must not be chosen.
+    fn cheapest<R: Rng>(
+        &self,
+        criteria: Criteria<'_>,
+        rng: &mut R,
+        load_cost: impl Fn(&Worker) -> Option<f64>,
     ) -> Option<Key<Worker>> {
         let is_untried = |key: &Key<Worker>| !criteria.tried.contains(key);
         let mut best: Option<(f64, Key<Worker>)> = None;
         for (key, worker) in self.workers_of(criteria.service).filter(|(key, _)| is_untried(key)) {
-            if worker.entry.draining {
-                continue;
-            }
-            let mut cost = f64::from(worker.load(now)) / f64::from(worker.entry.slots.max(1));
+            let Some(mut cost) = load_cost(worker) else { continue };
             cost += FAILURE_PENALTY * worker.breaker.failure_rate();
             cost += RANDOM_COST_RANGE * rng.random::<f64>();
             if worker.entry.zone != criteria.zone {
                 cost += ZONE_PENALTY;
             }
-            if !worker.is_usable(now) {
-                cost += 1_000.0;
-            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -56,3 +88,10 @@
         best.map(|(_, key)| key)
     }
 }
+
+impl Worker {
+    /// Requests relative to the slots.
+    fn relative_load(&self, load: u32) -> f64 {
+        f64::from(load) / f64::from(self.entry.slots.max(1))
+    }
+}
--- a/components/entry/src/metrics/mod.rs
+++ b/components/entry/src/metrics/mod.rs
@@ -16,6 +16,9 @@
     attempts: Counter<u64>,
     items: Counter<u64>,
     item_seconds: Histogram<f64>,
+    reward_calls: Counter<u64>,
+    reward_call_seconds: Histogram<f64>,
+    score_wait_seconds: Histogram<f64>,
     batches: Counter<u64>,
     orders: Counter<u64>,
     store_changes: Counter<u64>,
@@ -39,6 +42,11 @@
             attempts: registry.counter("attempts", "Attempts of requests at workers by outcome"),
             items: registry.counter("item_runs", "Runs of rollout items by outcome"),
             item_seconds: registry.duration_histogram("item", "Time of a whole run of an item"),
+            reward_calls: registry.counter("reward_calls", "Attempts at reward calls by outcome"),
+            reward_call_seconds: registry
+                .duration_histogram("reward_call", "Time of an answered attempt at a reward call"),
+            score_wait_seconds: registry
+                .duration_histogram("score_wait", "Time from a complete output to its score"),
             batches: registry.counter("batches", "Events of batches"),
             orders: registry.counter("orders", "Orders to load weights by reply"),
             store_changes: registry.counter("store_links", "Losses and returns of the store"),
@@ -73,6 +81,19 @@
         }
     }
 
+    /// Records the end of an attempt at a reward call after `seconds`.
+    pub fn record_reward_call(&self, outcome: &'static str, seconds: f64) {
+        self.reward_calls.add(1, &label("outcome", outcome));
+        if outcome == "scored" {
+            self.reward_call_seconds.record(seconds, &[]);
+        }
+    }
+
+    /// Records the `seconds` from a complete output to its score.
+    pub fn record_score_wait(&self, seconds: f64) {
+        self.score_wait_seconds.record(seconds, &[]);
+    }
+
     /// Counts an event of a batch.
     pub fn count_batch_event(&self, event: &'static str) {
         self.batches.add(1, &label("event", event));
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -47,6 +47,7 @@
             prompt_tokens: 100,
             max_tokens: 10_000,
             expected_tokens: expected,
+            reward: None,
         })
         .collect();
     let groups = (0..lengths.len() / 2).map(|group| format!("g{group}")).collect();
