Delivery test: time stands still while attempts run

Cause: can_replace_samples_ahead_of_need ran in real time with samples of 5 ms. At beside eight busy processes, 3 of 25 runs made 66, 67 and 67 dispatches instead of 64; the trace shows 2, 3 and 3 hedges in them, which an attempt slower than 1.5 times the median gets. Samples that still ran when the version changed took the new one and were not replaced, so that 64 was never reached.

Change: the controller of this test reads an injected clock that stands still while attempts run, and the version changes only when all samples are stored.

--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -8,6 +8,7 @@
     fault::Verdict,
     trainer::{Batch, Round},
 };
+use filbertsail_clock::Manual;
 use filbertsail_config::inventory::Inventory;
 use filbertsail_ports::fake::Fault;
 use filbertsail_rollout::policy::Policy;
@@ -24,6 +25,8 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Length of the table outage.
 const OUTAGE: Duration = Duration::from_secs(5);
+/// Time between two fetches of a trainer; longer than the interval of worker surveys.
+const STEP_TIME: Duration = Duration::from_secs(1);
 const VAAHTO_TOML: &str = include_str!("../../../examples/vaahto.toml");
 
 async fn batch(
@@ -287,10 +290,15 @@
 }
 
 /// Guards against a fetch that finds stale samples that could have been replaced earlier.
+///
+/// The clock stands still while attempts run, so that none becomes a straggler on a busy machine:
+/// its hedge would be a further dispatch.
 #[tokio::test]
 async fn can_replace_samples_ahead_of_need() {
     let deployment = Deployment::start().await;
-    let controller = deployment.controller("controller-1", Policy::Production).await;
+    let clock = Manual::default();
+    let controller =
+        deployment.controller_with_clock("controller-1", Policy::Production, clock.clone()).await;
     deployment.grant(&controller, 1).await;
     let gateway = deployment.gateway().await;
     let mut client = trainer(State::default());
@@ -298,10 +306,14 @@
         let round = Round { staleness_bound: 1, ..round(step) };
         client.post(gateway, &round).await.expect("post");
     }
-    wait_for(|| deployment.engine.dispatch_count() == 48).await;
+    // Samples that still ran would take the version that is set below.
+    wait_for(|| deployment.store.count("manifests/") == 3).await;
+    assert_eq!(deployment.engine.dispatch_count(), 48);
     batch(&mut client, gateway, 1, 1).await;
+    clock.advance(STEP_TIME);
     deployment.engine.version.store(3, Ordering::SeqCst);
     batch(&mut client, gateway, 2, 2).await;
+    clock.advance(STEP_TIME);
     // At the observed rate the trainer will be at version 3 when it fetches step 3.
     wait_for(|| deployment.engine.dispatch_count() == 64).await;
     let third = batch(&mut client, gateway, 3, 3).await;
--- a/components/controller/tests/support/mod.rs
+++ b/components/controller/tests/support/mod.rs
@@ -134,6 +134,16 @@
 
     /// Starts a controller without a lease.
     pub async fn controller(&self, name: &str, policy: Policy) -> Controller {
+        self.controller_with_clock(name, policy, Boot).await
+    }
+
+    /// Starts a controller without a lease that reads the time from `clock`.
+    pub async fn controller_with_clock<C: Source>(
+        &self,
+        name: &str,
+        policy: Policy,
+        clock: C,
+    ) -> Controller {
         let stop = self.stop.child_token();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let address = listener.local_addr().expect("address");
@@ -148,7 +158,7 @@
             table: self.client(),
             store: self.store.clone(),
             gateways: Links::new(known, key(), hello(name)),
-            clock: Boot,
+            clock,
             key: key(),
             http: Http::default(),
             policy,
