HTTP server: a shutdown answers requests that have arrived

Cause: at the start of the shutdown the listener was dropped, which resets connections in the backlog, and each connection without a request in flight was closed, also if its next request lay unread in the socket, or if it had just been accepted. Requests sent before the shutdown got no answer.

Change: connections are accepted and requests read for another 100 ms before idle connections are closed.

--- a/components/http/src/server/mod.rs
+++ b/components/http/src/server/mod.rs
@@ -34,6 +34,9 @@
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after the start of a shutdown in which connections are still accepted and requests read.
+/// Callers may have sent these before, and the kernel delivers them late on a busy VM.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Minimum size of the buffer for a request head. The limit itself may change while a connection is
 /// open, so it is checked separately for each request.
 const MIN_HEAD_BUFFER_BYTES: usize = 32 * 1024;
@@ -101,9 +104,11 @@
 ) {
     let mut connections = JoinSet::new();
     let slots = Arc::new(Semaphore::new(limits.borrow().max_connections));
+    let settled = settled(&stop);
+    pin!(settled);
     loop {
         tokio::select! {
-            () = stop.cancelled() => break,
+            () = settled.as_mut() => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
                 let Ok((stream, peer)) = accepted else {
@@ -122,6 +127,12 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Completes [`SETTLE_TIME`] after `stop` is cancelled.
+async fn settled(stop: &CancellationToken) {
+    stop.cancelled().await;
+    sleep(SETTLE_TIME).await;
+}
+
 /// One accepted connection.
 struct Connection<H> {
     limits: watch::Receiver<Limits>,
@@ -180,7 +191,9 @@
             // protocol.
             _ = connection.as_mut() => return,
             () = monitor.limit_exceeded() => return,
-            () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+            // Closes the connection unless a request is in flight, so it must not run before
+            // requests that have arrived are read.
+            () = settled(&stop) => connection.as_mut().graceful_shutdown(),
         }
         tokio::select! {
             _ = connection => {}
--- a/components/http/tests/server.rs
+++ b/components/http/tests/server.rs
@@ -1,6 +1,10 @@
 //! Server and client over real sockets.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use filbertsail_http::{
     Body,
@@ -10,7 +14,11 @@
 };
 use http::{Request, Response};
 use hyper::body::Incoming;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    time::{sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 #[derive(Clone)]
@@ -70,3 +78,58 @@
     let refused = Client::default().send(get(address, "/"), Duration::from_secs(5)).await;
     assert!(matches!(refused, Err(Error::Connect(_))), "{refused:?}");
 }
+
+/// Connects and, unless `text` is empty, sends it without letting the server run.
+fn connect(address: SocketAddr, text: &str) -> std::net::TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).expect("connects");
+    stream.write_all(text.as_bytes()).expect("sends");
+    stream
+}
+
+/// Reads until the server closes the connection.
+async fn read_to_end(stream: std::net::TcpStream) -> String {
+    stream.set_nonblocking(true).expect("stream");
+    let mut stream = tokio::net::TcpStream::from_std(stream).expect("stream");
+    let mut text = Vec::new();
+    // A reset ends the response as well.
+    let _ = timeout(Duration::from_secs(5), stream.read_to_end(&mut text)).await;
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+const REQUEST: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Guards against a shutdown that closes connections whose requests have arrived but were not read:
+/// one still in the backlog, one accepted just before, and one on an idle connection.
+#[tokio::test]
+async fn can_answer_requests_that_arrived_before_a_shutdown() {
+    // Which event the server handles first is random, so there are several rounds.
+    for round in 0..10 {
+        let (address, stop, server) = start().await;
+        let mut idle = connect(address, REQUEST);
+        let mut accepted = connect(address, "");
+        sleep(Duration::from_millis(20)).await;
+        let mut first = [0; 256];
+        let length = idle.read(&mut first).expect("first response");
+        assert!(length > 0);
+        idle.write_all(REQUEST.as_bytes()).expect("sends");
+        accepted.write_all(REQUEST.as_bytes()).expect("sends");
+        let backlog = connect(address, REQUEST);
+        stop.cancel();
+        for (name, stream) in [("idle", idle), ("accepted", accepted), ("backlog", backlog)] {
+            let response = read_to_end(stream).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "round {round}, {name}: {response:?}");
+        }
+        timeout(Duration::from_secs(5), server).await.expect("ends").expect("server");
+    }
+}
+
+/// Guards against a shutdown that waits for callers with idle connections.
+#[tokio::test]
+async fn can_close_idle_connections_at_shutdown() {
+    let (address, stop, server) = start().await;
+    let idle = connect(address, "");
+    sleep(Duration::from_millis(20)).await;
+    stop.cancel();
+    timeout(Duration::from_secs(2), server).await.expect("ends").expect("server");
+    assert_eq!(read_to_end(idle).await, "");
+}
