Limits on what workers send: heads, bodies, events, repeated responses

Causes, each shown by a test that failed first: - A response body was collected without a limit: one worker that sends without end put 522 MB into the process in 0.6 s. - The time limit of a stream was on each frame, so a worker that sends comment lines now and then kept an item or a caller's stream for good; streams that cannot be resumed had no limit at all. - Reports and replies to orders carry no identifier, so a late second copy of the response before them on the connection was taken for theirs; a 200 to an item counted as an order that holds already.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -3,16 +3,20 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use filbertsail_clock::Instant;
+use filbertsail_clock as clock;
 use filbertsail_collections::arena::Key;
 use filbertsail_http::Body;
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout, timeout_at},
+};
 
 use super::execution::Output;
 use crate::{
+    channel::Terms,
     dialect::{Answer, Dialect, Dispatch},
     event::{Event, Parser},
     fleet::Worker,
@@ -28,6 +32,12 @@
 /// Timeout between two events. Events come every 40 ms, on slow workers every 160 ms, also while
 /// weights load; a lost packet is retransmitted within a second. A hung worker never continues.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Limit of the doublings of that timeout.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
+/// Largest output, in bytes for each token that the item allows; model engines send six.
+const MAX_BYTES_PER_TOKEN: u64 = 64;
+/// Output that is accepted of every item.
+const MIN_OUTPUT_LIMIT_BYTES: u64 = 64 * 1024;
 /// Pause before a worker that refused gets new items. Most refusals come from a weight load,
 /// which takes about 0.9 s.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
@@ -50,6 +60,24 @@
     /// No response, a wrong one, or one that broke off, with the reason; the output so far stays
     /// valid.
     Broken(String),
+    /// No event arrived in time; the output so far stays valid.
+    Stalled,
+    /// The output is longer than the item allows, so none of it is valid.
+    Oversized,
+}
+
+/// Timeout between two events of an item that has stalled `stalls` times since its last event.
+///
+/// Load pattern: all workers are slow, so that every attempt would end before its first event.
+#[must_use]
+pub fn event_timeout(stalls: u32) -> Duration {
+    EVENT_TIMEOUT * 2_u32.pow(stalls.min(MAX_TIMEOUT_DOUBLINGS))
+}
+
+/// Largest output in bytes of an item that allows `max_tokens` tokens.
+#[must_use]
+pub fn output_limit(max_tokens: u64) -> u64 {
+    max_tokens.saturating_mul(MAX_BYTES_PER_TOKEN).max(MIN_OUTPUT_LIMIT_BYTES)
 }
 
 impl Finish {
@@ -63,6 +91,8 @@
             Self::Invalid => "invalid",
             Self::Stale => "stale",
             Self::Broken(_) => "broken",
+            Self::Stalled => "stalled",
+            Self::Oversized => "oversized",
         }
     }
 }
@@ -93,6 +123,10 @@
     /// Output so far, which the attempt continues.
     pub output: Output,
     pub head_timeout: Duration,
+    /// Timeout between two events.
+    pub event_timeout: Duration,
+    /// Largest output in bytes.
+    pub output_limit: u64,
     /// Whether to stop reading events for the time being.
     pub pause: watch::Receiver<bool>,
 }
@@ -103,7 +137,8 @@
     pub async fn run<D: Dialect>(&self, shared: &Shared, admitted: impl FnOnce()) -> Finish {
         let last_event = self.output.lock().partial.last_event;
         let Some(request) = self.request::<D>(last_event) else { return Finish::Invalid };
-        let exchange = shared.pool.send(self.address, request, true, shared.now());
+        let terms = Terms::identified(true);
+        let exchange = shared.pool.send(self.address, request, terms, shared.now());
         let (response, connection) = match timeout(self.head_timeout, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(fault)) => return Finish::Broken(fault.reason),
@@ -181,6 +216,8 @@
         let mut version = answer.version;
         let mut interval = Interval::default();
         let mut pause = self.pause.clone();
+        // Only complete events count as progress: a worker may send other bytes now and then.
+        let mut deadline = Instant::now() + self.event_timeout;
         loop {
             if *pause.borrow() {
                 // The sender was dropped: the attempt has been replaced and is about to be
@@ -189,18 +226,19 @@
                     return Finish::Broken("replaced".to_owned());
                 }
                 interval = Interval::default();
+                deadline = Instant::now() + self.event_timeout;
             }
             let frame = tokio::select! {
                 biased;
                 Ok(_) = pause.wait_for(|pause| *pause) => continue,
-                frame = timeout(EVENT_TIMEOUT, body.frame()) => frame,
+                frame = timeout_at(deadline, body.frame()) => frame,
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => return Finish::Broken(error.to_string()),
                 Ok(None) if parser.is_empty() && self.has_events() => return Finish::Done,
                 Ok(None) => return Finish::Broken("stream ended within an event".to_owned()),
-                Err(_) => return Finish::Broken("next event timed out".to_owned()),
+                Err(_) => return Finish::Stalled,
             };
             let Ok(bytes) = frame.into_data() else { continue };
             parser.push(&bytes);
@@ -218,6 +256,7 @@
                 if let Err(finish) = self.append_event(event, version, now) {
                     return finish;
                 }
+                deadline = Instant::now() + self.event_timeout;
                 if let Some(interval_ms) = interval.record_event(now) {
                     shared.fleet().record_interval(self.worker, interval_ms, now);
                 }
@@ -230,7 +269,12 @@
     }
 
     /// Appends one event to the output.
-    fn append_event(&self, event: Event, version: Option<u64>, now: Instant) -> Result<(), Finish> {
+    fn append_event(
+        &self,
+        event: Event,
+        version: Option<u64>,
+        now: clock::Instant,
+    ) -> Result<(), Finish> {
         let Some(version) = version else {
             return Err(Finish::Broken("event without a weight version".to_owned()));
         };
@@ -246,6 +290,9 @@
         if partial.last_event.is_some_and(|last| id != last + 1) {
             return Err(Finish::Broken(format!("event {id} out of order")));
         }
+        if (partial.text.len() + event.data.len()) as u64 > self.output_limit {
+            return Err(Finish::Oversized);
+        }
         if partial.events > 0 {
             partial.text.push('\n');
         }
@@ -262,14 +309,14 @@
 /// Average interval between the events of a stream.
 #[derive(Debug, Default)]
 struct Interval {
-    since: Option<Instant>,
+    since: Option<clock::Instant>,
     events: u32,
 }
 
 impl Interval {
     /// Records an event; returns the average milliseconds per event after each
     /// [`INTERVAL_WINDOW_EVENTS`] events.
-    fn record_event(&mut self, now: Instant) -> Option<f64> {
+    fn record_event(&mut self, now: clock::Instant) -> Option<f64> {
         let Some(since) = self.since else {
             self.since = Some(now);
             return None;
--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -104,6 +104,10 @@
     pub avoid: Option<Key<Worker>>,
     /// Attempts started.
     pub attempts: u32,
+    /// Attempts that stalled since the last event.
+    pub stalls: u32,
+    /// Number of events at the last stall.
+    stalled_after: u32,
     /// Events of the output that are saved in the store. The end of an output that waits for its
     /// score counts as one.
     pub saved_events: u32,
@@ -351,7 +355,18 @@
             failures: 0,
             avoid: None,
             attempts: 0,
+            stalls: 0,
+            stalled_after: 0,
             saved_events: 0,
         }
     }
 }
+
+impl State {
+    /// Records an attempt that ended because no event arrived in time.
+    pub fn record_stall(&mut self) {
+        let events = self.output.lock().partial.events;
+        self.stalls = if events == self.stalled_after { self.stalls + 1 } else { 1 };
+        self.stalled_after = events;
+    }
+}
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -6,12 +6,11 @@
 use filbertsail_collections::arena::Key;
 use filbertsail_http::Body;
 use http::{Method, Request, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::Call;
 use crate::{
+    channel::Terms,
     dialect::{Dialect, Dispatch},
     fleet::{End, Worker},
     shared::Shared,
@@ -21,8 +20,6 @@
 const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before a worker gets new requests after another instance answered at its address.
 const MISDIRECTED_PAUSE: Duration = Duration::from_secs(2);
-/// Largest response body that is read. Only its end matters, since the score is in the head.
-const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -93,7 +90,8 @@
         let Some(request) = self.request::<D>() else {
             return Finish::Broken("path is not a valid URI".to_owned());
         };
-        let result = shared.pool.send(self.address, request, true, shared.now()).await;
+        let terms = Terms::identified(true);
+        let result = shared.pool.send(self.address, request, terms, shared.now()).await;
         let (response, connection) = match result {
             Ok(exchange) => exchange,
             Err(fault) => return Finish::Broken(fault.to_string()),
@@ -122,8 +120,8 @@
         let Some(score) = score.filter(|score| !score.is_empty()) else {
             return Finish::Broken("response has no readable score".to_owned());
         };
-        if let Err(reason) = read_to_end(response.into_body()).await {
-            return Finish::Broken(reason);
+        if let Err(fault) = shared.foreign.read(response.into_body()).await {
+            return Finish::Broken(fault.to_string());
         }
         shared.pool.keep(connection, answer.keep_alive, shared.now());
         Finish::Scored(score.to_owned())
@@ -145,16 +143,3 @@
         Some(request)
     }
 }
-
-/// Reads a response body up to its end and drops it.
-async fn read_to_end(mut body: Incoming) -> Result<(), String> {
-    let mut bytes = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        bytes += frame.data_ref().map_or(0, Bytes::len);
-        if bytes > MAX_RESPONSE_BYTES {
-            return Err("response is too long".to_owned());
-        }
-    }
-    Ok(())
-}
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -14,7 +14,7 @@
 use crate::{
     batch::{
         Outcome,
-        attempt::{Attempt, Finish, RESPONSE_HEAD_TIMEOUT, SUCCESSOR_HEAD_TIMEOUT},
+        attempt::{self, Attempt, Finish, RESPONSE_HEAD_TIMEOUT, SUCCESSOR_HEAD_TIMEOUT},
         execution::{Assignment, Execution, Phase},
         plan,
     },
@@ -111,6 +111,18 @@
                 line.with("outcome", "broken").with("reason", reason).warn();
                 state.phase = Phase::Waiting(now.after(ITEM_RETRY_DELAY));
             }
+            Finish::Stalled => {
+                let timeout = attempt::event_timeout(state.stalls);
+                state.record_stall();
+                line.with("outcome", "stalled").with("timeout_ms", timeout.as_millis()).warn();
+                state.phase = Phase::Waiting(now.after(ITEM_RETRY_DELAY));
+            }
+            Finish::Oversized => {
+                let limit = attempt::output_limit(submitted.max_tokens);
+                line.with("outcome", "oversized").with("limit_bytes", limit).warn();
+                state.output = Default::default();
+                state.phase = Phase::Waiting(now.after(ITEM_RETRY_DELAY));
+            }
         }
         let Some(successor) = successor else { return };
         let state = &mut execution.states[item];
@@ -145,7 +157,7 @@
         }
         // The head timeout of a successor is too short to tell a busy worker from a dead one.
         let end = match finish {
-            Finish::Broken(_) => End::Refused { pause: MOVE_RETRY_DELAY },
+            Finish::Broken(_) | Finish::Stalled => End::Refused { pause: MOVE_RETRY_DELAY },
             finish => worker_end(finish),
         };
         assignment.pause.send_replace(false);
@@ -293,6 +305,8 @@
             single_version: route.single_version,
             output: state.output.clone(),
             head_timeout,
+            event_timeout: attempt::event_timeout(state.stalls),
+            output_limit: attempt::output_limit(submitted.max_tokens),
             pause: pause_receiver,
         };
         Line::new("item_sent")
@@ -440,7 +454,7 @@
     match finish {
         Finish::Done => End::Success,
         Finish::Refused(pause) => End::Refused { pause: *pause },
-        Finish::Broken(_) => End::Failure,
+        Finish::Broken(_) | Finish::Stalled | Finish::Oversized => End::Failure,
         Finish::Failed | Finish::Invalid | Finish::Stale => End::Inconclusive,
     }
 }
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 connections to workers, with one request at a time on each.
 //!
 //! A connection is reused only after a complete response with the identifier of its request. Any
-//! irregularity closes it, so that bytes of one response never reach another request.
+//! irregularity closes it, so that bytes of one response never reach another request. Responses
+//! without an identifier are matched by their order alone, see [`Matching`].
 
 use std::{
     net::SocketAddr,
@@ -35,6 +36,40 @@
 /// Idle connections kept per worker.
 const MAX_IDLE_PER_WORKER: usize = 32;
 
+/// Largest response head, and size of the read buffer of a connection. A worker may send a head
+/// without end on each of hundreds of connections.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// How responses on a connection are matched to their requests.
+///
+/// A worker may send a second copy of a response late, when the connection is in use again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Matching {
+    /// Both carry an identifier, which the sender of the request compares.
+    Identifier,
+    /// By their order. A copy of the response to one such request looks like the response to the
+    /// next one, so a connection never serves two of them in succession; between them, the sender
+    /// tells copies by the identifier that they carry or lack.
+    Order,
+}
+
+/// Terms of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Whether the request may be sent on a connection that has been idle for longer and may be
+    /// closed by the worker at any time.
+    pub idempotent: bool,
+    pub matching: Matching,
+}
+
+impl Terms {
+    /// Terms of a request with an identifier.
+    #[must_use]
+    pub fn identified(idempotent: bool) -> Self {
+        Self { idempotent, matching: Matching::Identifier }
+    }
+}
+
 /// Failure of a request.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{verdict}: {reason}")]
@@ -57,6 +92,8 @@
 
 struct Idle {
     sender: SendRequest<Body>,
+    /// How the last response was matched.
+    matching: Matching,
     expires_at: Instant,
     since: Instant,
 }
@@ -66,6 +103,8 @@
 pub struct Pool {
     #[debug(skip)]
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    /// Whether the server is known to keep to the protocol.
+    is_trusted: bool,
 }
 
 /// Connection whose response is being read.
@@ -74,11 +113,18 @@
     #[debug(skip)]
     sender: SendRequest<Body>,
     address: SocketAddr,
+    matching: Matching,
 }
 
 impl Pool {
-    /// Sends a request and returns the head of its response. `idempotent` allows the reuse of a
-    /// connection that has been idle for longer and may be closed by the worker at any time.
+    /// Connections to a server that keeps to the protocol: responses are never repeated, and their
+    /// heads and buffers need no limit.
+    #[must_use]
+    pub fn trusted() -> Self {
+        Self { is_trusted: true, ..Self::default() }
+    }
+
+    /// Sends a request and returns the head of its response.
     ///
     /// # Errors
     /// The verdict of the fault states whether the request may have run.
@@ -86,22 +132,23 @@
         &self,
         address: SocketAddr,
         request: Request<Body>,
-        idempotent: bool,
+        terms: Terms,
         now: Instant,
     ) -> Result<(Response<Incoming>, Channel), Fault> {
-        let mut sender = match self.take(address, idempotent, now) {
+        let matching = terms.matching;
+        let mut sender = match self.take(address, terms, now) {
             Some(sender) => sender,
-            None => connect(address).await?,
+            None => self.connect(address).await?,
         };
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((response, Channel { sender, address })),
+            Ok(response) => Ok((response, Channel { sender, address, matching })),
             Err(mut error) => match error.take_message() {
                 // The connection was already closed, and the request has not been written.
                 Some(request) => {
-                    let mut sender = connect(address).await?;
+                    let mut sender = self.connect(address).await?;
                     let response =
                         sender.send_request(request).await.map_err(Fault::may_have_run)?;
-                    Ok((response, Channel { sender, address }))
+                    Ok((response, Channel { sender, address, matching }))
                 }
                 None => Err(Fault::may_have_run(error.into_error())),
             },
@@ -120,6 +167,7 @@
         if connections.len() < MAX_IDLE_PER_WORKER {
             connections.push(Idle {
                 sender: channel.sender,
+                matching: channel.matching,
                 expires_at: now.after(lifetime),
                 since: now,
             });
@@ -140,36 +188,39 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
-    fn take(
-        &self,
-        address: SocketAddr,
-        idempotent: bool,
-        now: Instant,
-    ) -> Option<SendRequest<Body>> {
+    fn take(&self, address: SocketAddr, terms: Terms, now: Instant) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        while let Some(idle) = connections.pop() {
-            let is_fresh = idempotent || now.since(idle.since) < MAX_IDLE_FOR_NON_IDEMPOTENT;
+        let is_ambiguous = |idle: &Idle| {
+            !self.is_trusted && [terms.matching, idle.matching] == [Matching::Order; 2]
+        };
+        while let Some(index) = connections.iter().rposition(|idle| !is_ambiguous(idle)) {
+            let idle = connections.remove(index);
+            let is_fresh = terms.idempotent || now.since(idle.since) < MAX_IDLE_FOR_NON_IDEMPOTENT;
             if now < idle.expires_at && is_fresh && idle.sender.is_ready() {
                 return Some(idle.sender);
             }
         }
         None
     }
-}
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, Fault> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| Fault::not_run("timeout while establishing the connection"))?
-        .map_err(Fault::not_run)?;
-    // Without it, only the latency is higher.
-    let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(Fault::not_run)?;
-    tokio::spawn(async move {
-        // A pending request gets the error as well, and an idle connection is detected as closed.
-        let _ = connection.await;
-    });
-    Ok(sender)
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, Fault> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| Fault::not_run("timeout while establishing the connection"))?
+            .map_err(Fault::not_run)?;
+        // Without it, only the latency is higher.
+        let _ = stream.set_nodelay(true);
+        let mut builder = http1::Builder::new();
+        if !self.is_trusted {
+            builder.max_buf_size(MAX_HEAD_BYTES);
+        }
+        let (sender, connection) =
+            builder.handshake(TokioIo::new(stream)).await.map_err(Fault::not_run)?;
+        tokio::spawn(async move {
+            // A pending request gets the error as well, and an idle connection is detected as closed.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
 }
--- a/components/entry/src/event/mod.rs
+++ b/components/entry/src/event/mod.rs
@@ -5,8 +5,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// Largest event accepted; model engines send no longer ones.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Largest event accepted. Events of model engines have a few hundred bytes, and a worker may send
+/// bytes without end on each of hundreds of streams.
+const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// Complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -7,12 +7,11 @@
 use filbertsail_http::Body;
 use filbertsail_telemetry::event::Line;
 use http::{Request, Response, StatusCode, header::HeaderName};
-use http_body_util::BodyExt;
 use tokio::time::timeout;
 
 use super::Job;
 use crate::{
-    channel::Pool,
+    channel::{Pool, Terms},
     dialect::{Answer, Dialect, Dispatch},
     fleet::{End, Entry, Worker},
     shared::Shared,
@@ -163,7 +162,8 @@
         return (failed(Verdict::NotRun, "request cannot be passed on"), End::Inconclusive);
     };
     let pool: &Pool = &shared.pool;
-    let result = pool.send(worker.address, request, idempotent, shared.now()).await;
+    let terms = Terms::identified(idempotent);
+    let result = pool.send(worker.address, request, terms, shared.now()).await;
     let (response, channel) = match result {
         Ok(exchange) => exchange,
         Err(fault) => {
@@ -179,14 +179,15 @@
         return end;
     }
     let (mut head, body) = response.into_parts();
-    let Ok(body) = body.collect().await else {
-        return (failed(Verdict::MayHaveRun, "answer broke off"), End::Failure);
+    let body = match shared.foreign.read(body).await {
+        Ok(body) => body,
+        Err(fault) => return (failed(Verdict::MayHaveRun, fault.reason()), End::Failure),
     };
     shared.pool.keep(channel, answer.keep_alive, shared.now());
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
     let failed = head.status.is_server_error();
-    let response = Response::from_parts(head, Body::full(body.to_bytes()));
+    let response = Response::from_parts(head, Body::full(body));
     if failed {
         (Finish::Error(response), End::Failure)
     } else {
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -13,7 +13,10 @@
 use http::{Response, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout, timeout_at},
+};
 
 use super::{
     Job,
@@ -21,7 +24,7 @@
     choose, failure_response,
 };
 use crate::{
-    channel::Channel,
+    channel::{Channel, Terms},
     config::Route,
     dialect::{Answer, Dialect},
     event::Parser,
@@ -31,6 +34,9 @@
 
 /// Time without an event after which a resumable stream counts as broken.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without an event after which a stream that cannot be resumed is given up. Its caller loses
+/// all of it, and leaves earlier if it waits for less.
+const LAST_EVENT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for the response head while another worker may be tried.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Number of events buffered for a slow caller.
@@ -123,7 +129,8 @@
     let Some(request) = attempt::request::<D>(job, entry, time_left, last_event) else {
         return Err(((Verdict::NotRun, "request cannot be passed on"), End::Inconclusive));
     };
-    let result = shared.pool.send(entry.address, request, false, shared.now()).await;
+    let terms = Terms::identified(false);
+    let result = shared.pool.send(entry.address, request, terms, shared.now()).await;
     let (response, channel) =
         result.map_err(|cause| ((cause.verdict, "no connection"), End::Failure))?;
     let answer = D::decode_answer(response.headers());
@@ -205,20 +212,20 @@
         last_event: &mut Option<u64>,
     ) -> StreamEnd {
         let mut parser = Parser::new(D::VERSION_FIELD);
+        let limit = if self.route.resumable { EVENT_TIMEOUT } else { LAST_EVENT_TIMEOUT };
+        // Only complete events count as progress: a worker may send other bytes now and then.
+        let mut deadline = Instant::now() + limit;
         loop {
             let frame = tokio::select! {
                 () = self.sender.closed() => return StreamEnd::CallerDisconnected,
-                frame = timeout(EVENT_TIMEOUT, body.frame()) => frame,
+                frame = timeout_at(deadline, body.frame()) => frame,
             };
             let bytes = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) => return StreamEnd::Broken("connection broke off"),
                 Ok(None) if parser.is_empty() => return StreamEnd::Complete,
                 Ok(None) => return StreamEnd::Broken("stream ended within an event"),
-                Err(_) if self.route.resumable => {
-                    return StreamEnd::Broken("no event before the timeout");
-                }
-                Err(_) => continue,
+                Err(_) => return StreamEnd::Broken("no event before the timeout"),
             };
             parser.push(&bytes);
             loop {
@@ -235,6 +242,8 @@
                         if self.sender.send(Ok(event.raw)).await.is_err() {
                             return StreamEnd::CallerDisconnected;
                         }
+                        // Counted from here, since a slow caller blocks the send.
+                        deadline = Instant::now() + limit;
                     }
                     Ok(None) => break,
                     Err(_) => return StreamEnd::Broken("malformed event"),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod fleet;
 pub mod follow;
+pub mod foreign;
 pub mod forward;
 pub mod metrics;
 pub mod relay;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -9,7 +9,7 @@
 use filbertsail_collections::HashMap;
 use tokio::sync::watch;
 
-use crate::{channel::Pool, config::Config, fleet::Fleet, metrics::Metrics};
+use crate::{channel::Pool, config::Config, fleet::Fleet, foreign::Budget, metrics::Metrics};
 
 /// Time after a store outage within which the feed delivers deletions of entries that lapsed
 /// meanwhile.
@@ -84,6 +84,8 @@
     pub metrics: Metrics,
     /// Idle connections to workers.
     pub pool: Pool,
+    /// Bodies of workers' responses that are being read.
+    pub foreign: Budget,
     /// Active configuration.
     pub config: Arc<watch::Sender<Option<Arc<Config>>>>,
     /// Newest weight version of each model.
@@ -112,6 +114,7 @@
             identity: Arc::new(identity),
             times,
             pool: Pool::default(),
+            foreign: Budget::default(),
             config: Arc::new(watch::channel(None).0),
             newest_versions: Arc::new(watch::channel(HashMap::default()).0),
             version_lags: Arc::new(watch::channel(HashMap::default()).0),
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -9,7 +9,7 @@
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::event::Line;
 use http::Request;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::mpsc,
     time::{sleep, timeout},
@@ -17,6 +17,7 @@
 
 use super::{Action, Exchange, Planner, Reply, Target, View, lease::Lease};
 use crate::{
+    channel::{Matching, Terms},
     config::{Kind, Service},
     dialect::{Dialect, Order, Swap},
     relay::Peers,
@@ -27,6 +28,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a call to a worker. These calls need no slot, so a busy worker answers them too.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest body of a reply; a report names each running request.
+const MAX_REPLY_BYTES: usize = 256 * 1024;
 /// Time between two checks for new services.
 const SERVICE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -229,11 +232,16 @@
     let request = request.map(Body::full);
     let exchange = async {
         let now = shared.now();
-        let (response, channel) = shared.pool.send(address, request, !is_order, now).await.ok()?;
+        let terms = Terms { idempotent: !is_order, matching: Matching::Order };
+        let (response, channel) = shared.pool.send(address, request, terms, now).await.ok()?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
-        let keep_alive = D::decode_answer(&head.headers).keep_alive;
-        shared.pool.keep(channel, keep_alive, shared.now());
+        let answer = D::decode_answer(&head.headers);
+        if answer.id.is_some() {
+            Line::new("reply_misdirected").with("address", address).with("order", is_order).warn();
+            return None;
+        }
+        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+        shared.pool.keep(channel, answer.keep_alive, shared.now());
         Some((head.status.as_u16(), body))
     };
     let Ok(Some((status, body))) = timeout(CALL_TIMEOUT, exchange).await else {
--- /dev/null
+++ b/components/entry/tests/channel.rs
@@ -0,0 +1,62 @@
+//! Connections to workers that repeat responses late.
+
+use std::{net::SocketAddr, time::Duration};
+
+use filbertsail_clock::Instant;
+use filbertsail_entry::channel::{Matching, Pool, Terms};
+use filbertsail_http::Body;
+use http::Request;
+use http_body_util::BodyExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+/// Server that answers each request with its path, after a second copy of the response before it on
+/// the connection.
+async fn start() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut buffer, mut previous) = ([0; 1_024], String::new());
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    let text = String::from_utf8_lossy(&buffer[..length]);
+                    let path = text.split(' ').nth(1).expect("path");
+                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", path.len());
+                    let response = head + path;
+                    let repeated = std::mem::replace(&mut previous, response.clone());
+                    if stream.write_all((repeated + &response).as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Sends a request for `path` and returns the body of the response.
+async fn exchange(pool: &Pool, address: SocketAddr, path: &str, matching: Matching) -> String {
+    let request = Request::get(path).body(Body::empty()).expect("request");
+    let terms = Terms { idempotent: true, matching };
+    let now = Instant::from_millis(1);
+    let (response, channel) = pool.send(address, request, terms, now).await.expect("response");
+    let body = response.into_body().collect().await.expect("body").to_bytes();
+    pool.keep(channel, Some(Duration::from_secs(5)), now);
+    String::from_utf8(body.to_vec()).expect("text")
+}
+
+/// Guards against a report or reply that is a late copy of the one before on its connection, which
+/// nothing in it tells.
+#[tokio::test]
+async fn can_tell_unlabelled_responses_from_late_copies() {
+    let (pool, address) = (Pool::default(), start().await);
+    for path in ["/first", "/second", "/third"] {
+        assert_eq!(exchange(&pool, address, path, Matching::Order).await, path);
+    }
+    // The sender compares identifiers, so the connections stay in use for such requests.
+    let copy = exchange(&pool, address, "/item", Matching::Identifier).await;
+    assert_ne!(copy, "/item", "no connection was reused");
+}
