Weights: reports share connections, replies to orders tell copies of reports

Change: only replies to orders are matched by their order alone. A late copy of a report is out of date at worst, as reports are anyway, and each order names the count that it expects; a reply to an order that holds a report is dropped, and so is the connection after a report that cannot be decoded.

--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -40,16 +40,18 @@
 /// without end on each of hundreds of connections.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// How responses on a connection are matched to their requests.
+/// How a response on a connection is matched to its request.
 ///
 /// A worker may send a second copy of a response late, when the connection is in use again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Matching {
     /// Both carry an identifier, which the sender of the request compares.
     Identifier,
-    /// By their order. A copy of the response to one such request looks like the response to the
-    /// next one, so a connection never serves two of them in succession; between them, the sender
-    /// tells copies by the identifier that they carry or lack.
+    /// By order and content: the sender tells copies of other responses by their content, and a
+    /// copy of the same kind does no harm.
+    Content,
+    /// By order alone. A copy of the response to one such request looks like the response to the
+    /// next one, so a connection never serves two of them in succession.
     Order,
 }
 
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -232,16 +232,21 @@
     let request = request.map(Body::full);
     let exchange = async {
         let now = shared.now();
-        let terms = Terms { idempotent: !is_order, matching: Matching::Order };
+        // An earlier report is out of date at worst; each order names what it expects.
+        let matching = if is_order { Matching::Order } else { Matching::Content };
+        let terms = Terms { idempotent: !is_order, matching };
         let (response, channel) = shared.pool.send(address, request, terms, now).await.ok()?;
         let (head, body) = response.into_parts();
         let answer = D::decode_answer(&head.headers);
-        if answer.id.is_some() {
+        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+        let is_report = D::decode_report(&body).is_ok();
+        if answer.id.is_some() || (is_order && is_report) {
             Line::new("reply_misdirected").with("address", address).with("order", is_order).warn();
             return None;
         }
-        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
-        shared.pool.keep(channel, answer.keep_alive, shared.now());
+        if is_order || is_report {
+            shared.pool.keep(channel, answer.keep_alive, shared.now());
+        }
         Some((head.status.as_u16(), body))
     };
     let Ok(Some((status, body))) = timeout(CALL_TIMEOUT, exchange).await else {
--- a/components/entry/tests/channel.rs
+++ b/components/entry/tests/channel.rs
@@ -48,7 +48,7 @@
     String::from_utf8(body.to_vec()).expect("text")
 }
 
-/// Guards against a report or reply that is a late copy of the one before on its connection, which
+/// Guards against a reply to an order that is a late copy of the one before on its connection, which
 /// nothing in it tells.
 #[tokio::test]
 async fn can_tell_unlabelled_responses_from_late_copies() {
