Review: results answer 404 once the route of their batch is removed

Tried: the operator removes the route of a batch, the only one of its host, after the batch was accepted, completed and read. Run as a script with three processes of the deploy file.

--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -153,8 +153,8 @@
     """The case could not be carried out."""
 
 
-async def submit(vm, route_path, name, body, record, limit_s=5.0):
-    headers = {"X-Filbertsail-Attempt-Id": name, "Content-Type": "application/json",
+async def submit(vm, route_path, name, body, record, limit_s=5.0, host=HOST):
+    headers = {"Host": host, "X-Filbertsail-Attempt-Id": name, "Content-Type": "application/json",
                "X-Filbertsail-Deadline-Ms": 4000}
     answer = await http1.call(vm.front, "POST", route_path, headers, body, limit_s)
     status = answer.status if answer else None
@@ -162,21 +162,21 @@
     return status
 
 
-async def read_results(vm, name, after=0, wait_ms=1000):
+async def read_results(vm, name, after=0, wait_ms=1000, host=HOST):
     """Status and results of a batch from a position on."""
-    headers = {"X-Filbertsail-Wait-Ms": wait_ms}
+    headers = {"Host": host, "X-Filbertsail-Wait-Ms": wait_ms}
     answer = await http1.call(vm.front, "GET", f"/-/lots/{name}?after={after}", headers, limit_s=4)
     if answer is None:
         return None, None
     return answer.status, json.loads(answer.body) if answer.status == 200 else None
 
 
-async def read_all(vms, name, total, limit_s, record):
+async def read_all(vms, name, total, limit_s, record, host=HOST):
     """Reads a batch from the start until it is whole or the time is up."""
     results, end, turn = [], time.monotonic() + limit_s, 0
     while len(results) < total and time.monotonic() < end:
         vm = vms[turn % len(vms)]
-        status, page = await read_results(vm, name, len(results))
+        status, page = await read_results(vm, name, len(results), host=host)
         if status == 200 and page["results"]:
             for offset, result in enumerate(page["results"]):
                 record(f"batch {name} position {len(results) + offset} read at {vm.name}: "
