--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -66,10 +66,16 @@
                        "desired_count": len(items), "items": listed}).encode()
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_ports(ip, count):
+    """Different ports of `ip` that are free at present."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
 
 
 class Vm:
@@ -79,7 +85,8 @@
         self.name, self.endpoint, self.record = f"front-{index}", endpoint, record
         self.folder, self.log = folder, os.path.join(folder, f"front-{index}.log")
         ip = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}.{index}"
-        ports = {name: free_port(ip) for name in ("front", "readiness", "internal")}
+        names = ("front", "readiness", "internal")
+        ports = dict(zip(names, free_ports(ip, len(names))))
         self.front, self.readiness = (ip, ports["front"]), (ip, ports["readiness"])
         self.path = os.path.join(folder, f"front-{index}.json")
         self.settings = {
@@ -191,8 +198,8 @@
     return results
 
 
-async def end_batch(vm, name, record):
-    answer = await http1.call(vm.front, "DELETE", f"/-/lots/{name}", limit_s=4)
+async def end_batch(vm, name, record, host=HOST):
+    answer = await http1.call(vm.front, "DELETE", f"/-/lots/{name}", {"Host": host}, limit_s=4)
     record(f"batch {name} ended at {vm.name}: {answer.status if answer else None}")
     return answer.status if answer else None
 
--- a/review/stand/worker.py
+++ b/review/stand/worker.py
@@ -23,6 +23,8 @@
         self.intercept = None
         # Called with a run before each event; returns whether the worker crashes there.
         self.crash = None
+        # Identifier of an item whose events take longer.
+        self.slow = None
         self.runs, self.connections = [], set()
         self.server, self.address = await http1.serve(self.handle, connections=self.connections)
         await self.beat()
@@ -110,7 +112,7 @@
         first = int(run["last"]) + 1 if run["last"] is not None else 1
         version = self.version
         for event in range(first, events + 1):
-            await asyncio.sleep(self.event_ms / 1000)
+            await asyncio.sleep(self.event_ms * (6 if run["id"] == self.slow else 1) / 1000)
             if self.crash is not None and self.crash(run):
                 await self.crash_now()
                 return None
