Lease: a row states the end of the wait only after it

Cause: `Elector::next_write` set `ordering` as soon as the wait for orders of earlier holders would end before the deadline of the renewal. A process that was killed after such a renewal left a row that the next process of its VM took for the end of the wait, and it sent orders at once.

Change: the flag is set only in rows written after the end of the wait, by one function for the row and for the elector's own copy of it.

--- a/components/cluster/src/lease/elector.rs
+++ b/components/cluster/src/lease/elector.rs
@@ -41,6 +41,16 @@
     grant: Grant,
 }
 
+impl Attempt {
+    /// Whether the wait for the orders of earlier holders was over when the write was sent.
+    ///
+    /// A write that is sent during the wait must not state its end: the next process of this VM
+    /// would send orders as soon as it reads the row.
+    fn has_waited(&self) -> bool {
+        self.sent_at >= self.grant.orders_allowed_from
+    }
+}
+
 /// Acquires and renews one lease for one daemon.
 #[derive(Clone, Debug)]
 pub struct Elector {
@@ -160,9 +170,9 @@
         };
         let deadline = now.after(self.timing.ttl - self.timing.ttl / CLOCK_DRIFT_DIVISOR);
         let grant = Grant { epoch, deadline, orders_allowed_from };
-        // The holder may send orders until its deadline, so a window that opens by then counts.
-        let ordering = orders_allowed_from <= deadline;
-        self.attempt = Some(Attempt { token: token.clone(), sent_at: now, grant });
+        let attempt = Attempt { token: token.clone(), sent_at: now, grant };
+        let ordering = attempt.has_waited();
+        self.attempt = Some(attempt);
         // The row must be read again unless the outcome of this write becomes known.
         self.stale = true;
         self.read_at = now;
@@ -208,7 +218,7 @@
             incarnation: self.incarnation,
             epoch: attempt.grant.epoch,
             ttl_ms: u64::try_from(self.timing.ttl.as_millis()).unwrap_or(u64::MAX),
-            ordering: attempt.grant.orders_allowed_from <= attempt.grant.deadline,
+            ordering: attempt.has_waited(),
         };
         self.observed = Some(Observation {
             revision: Some(revision),
--- a/components/cluster/src/lease/mod.rs
+++ b/components/cluster/src/lease/mod.rs
@@ -53,7 +53,8 @@
     /// Time in milliseconds for which the row must be unchanged before another daemon may acquire
     /// the lease.
     pub ttl_ms: u64,
-    /// Whether the holder may have sent orders already.
+    /// Whether the holder had waited for the orders of earlier holders to expire when it wrote the
+    /// row. Until then, no later process of its VM may send orders without a wait of its own.
     #[serde(default)]
     pub ordering: bool,
 }
--- a/components/cluster/tests/takeover.rs
+++ b/components/cluster/tests/takeover.rs
@@ -12,18 +12,25 @@
 const TIMING: Timing =
     Timing { ttl: Duration::from_millis(2_000), order_lifetime: Duration::from_millis(3_000) };
 
-fn row(holder: &str, ordering: bool) -> Row {
-    let value = Value {
-        holder: Some(holder.to_owned()),
-        incarnation: 1,
-        epoch: 4,
-        ttl_ms: 2_000,
-        ordering,
-    };
+fn value(holder: &str, ordering: bool) -> Value {
+    Value { holder: Some(holder.to_owned()), incarnation: 1, epoch: 4, ttl_ms: 2_000, ordering }
+}
+
+fn row_of(value: &Value) -> Row {
     let value = serde_json::to_value(value).expect("plain fields");
     Row { key: "lease/x".to_owned(), revision: 9, token: "t".to_owned(), value }
 }
 
+fn row(holder: &str, ordering: bool) -> Row {
+    row_of(&value(holder, ordering))
+}
+
+/// Row after the commit of `transaction`.
+fn stored_row(transaction: &Transaction) -> Row {
+    let value = transaction.writes[0].value.clone().expect("a row is never deleted");
+    Row { key: "lease/x".to_owned(), revision: 9, token: transaction.token.clone(), value }
+}
+
 fn at(ms: u64) -> Instant {
     Instant::from_millis(ms)
 }
@@ -63,6 +70,39 @@
     assert!(!grant.allows_orders(at(110), false));
 }
 
+/// Guards against orders of two VMs within the lifetime of an order: a holder that had waited for
+/// only part of it renewed the lease, was killed and started again.
+#[test]
+fn can_wait_if_the_predecessor_renewed_during_its_wait() {
+    let lifetime_ms = 3_000;
+    let released = Value { holder: None, ..value("vm-2", true) };
+    for renewed_at in (500..=4_500).step_by(100) {
+        let mut first = Elector::new("x", "vm-1", 1, TIMING).with_predecessor_ended();
+        first.on_read(at(100), Some(&row_of(&released)));
+        let mut stored = next_write(&mut first, at(100)).expect("the lease is free");
+        first.on_committed(at(110), 10);
+        let mut now = 100;
+        while now < renewed_at {
+            now += 100;
+            if let Some(renewal) = next_write(&mut first, at(now)) {
+                stored = renewal;
+                first.on_committed(at(now), 10 + now);
+            }
+        }
+
+        let mut second = successor();
+        second.on_read(at(now + 250), Some(&stored_row(&stored)));
+        assert!(next_write(&mut second, at(now + 250)).is_some());
+        second.on_committed(at(now + 260), 10_000);
+        let grant = second.grant(at(now + 260)).expect("held");
+        let waited_ms = now + 250 - 100;
+        assert!(
+            !grant.allows_orders(at(now + 260), false) || waited_ms >= lifetime_ms,
+            "orders {waited_ms} ms after the release of another VM"
+        );
+    }
+}
+
 /// Guards against acquiring the lease of another VM before it has expired.
 #[test]
 fn can_wait_for_the_lease_of_another_vm() {
