Batches: an owner waits for the configuration of a batch

Cause: the batch was assigned to an owner whose feed of the operator's table was silent. Its configuration lacked the new route, and `Task::place_item` took a missing route for one that has ended.

Change: the owner's row carries the version of the configuration under which the batch was accepted. An owner with an older one neither places, moves nor gives up its items, nor sends their reward calls. Why this works: configurations only get newer in a process, and the accepting one had the route, so a route that is missing later has ended.

--- a/components/entry/src/batch/calls/mod.rs
+++ b/components/entry/src/batch/calls/mod.rs
@@ -54,7 +54,7 @@
         let range = Range { table: key.table, part: key.part, from: key.key, to, limit: 1 };
         let page = self.store.range(range).await?;
         let Some(row) = page.rows.into_iter().next() else { return Ok(None) };
-        let meta = rows::decode(row.value.as_deref().unwrap_or_default())
+        let meta = rows::decode_meta(row.value.as_deref().unwrap_or_default())
             .map_err(|error| Fault::Unavailable(error.to_string()))?;
         Ok(Some((meta, row.version)))
     }
@@ -91,7 +91,7 @@
         let meta = Meta { ended: true, ..meta };
         let transaction = Transaction {
             checks: vec![(rows::meta_key(batch), row_version)],
-            writes: vec![(rows::meta_key(batch), rows::encode(&meta))],
+            writes: vec![(rows::meta_key(batch), rows::encode_meta(&meta))],
             deletes: Vec::new(),
         };
         let commit = self.store.transact(transaction).await?;
--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -45,8 +45,15 @@
 }
 
 impl<S: Store> Calls<S> {
-    /// Accepts a batch; all its rows are in the store before the response.
-    pub async fn submit<D: Dialect>(&self, batch: &str, host: &str, body: &[u8]) -> Response<Body> {
+    /// Accepts a batch on a route of the configuration `config_version`; all its rows are in the
+    /// store before the response.
+    pub async fn submit<D: Dialect>(
+        &self,
+        batch: &str,
+        host: &str,
+        body: &[u8],
+        config_version: u64,
+    ) -> Response<Body> {
         if self.directory.get(batch).is_some() || self.directory.meta(batch).is_some() {
             Line::new("batch_repeated").with("batch", batch).info();
             return status(StatusCode::ACCEPTED);
@@ -62,7 +69,7 @@
             return refuse("stopping", Duration::ZERO);
         }
         let start = self.shared.now();
-        match self.accept(batch, host, submission, start).await {
+        match self.accept(batch, host, submission, config_version, start).await {
             Ok(()) => {
                 let took = self.shared.now().since(start).as_millis();
                 self.shared.metrics.count_batch_event("accepted");
@@ -87,6 +94,7 @@
         batch: &str,
         host: &str,
         submission: Submission,
+        config_version: u64,
         start: Instant,
     ) -> Result<(), Refusal> {
         let local_owner = Owner {
@@ -112,6 +120,7 @@
             accepted_ms: self.shared.link.borrow().store_ms(start),
             ended: false,
             complete: submission.items.is_empty(),
+            config_version,
         };
         // A VM that has not run batches yet knows nothing of the workers.
         let observations = async {
@@ -150,7 +159,7 @@
             Guard { calls, batch: batch.to_owned(), writer, discard_delay: Some(DISCARD_DELAY) };
         let mut last = self.write_chunks(batch, &meta.writer, chunks, start).await?;
         last.checks.push((rows::meta_key(batch), 0));
-        last.writes.push((rows::meta_key(batch), rows::encode(meta)));
+        last.writes.push((rows::meta_key(batch), rows::encode_meta(meta)));
         let row_version = self.commit_meta(batch, &meta.writer, last, start).await?;
         guard.discard_delay = row_version.is_none().then_some(Duration::ZERO);
         Ok(row_version)
@@ -211,9 +220,8 @@
                 Ok(commit) => return Ok(Some(commit.version)),
                 Err(Fault::Conflict(present)) => {
                     let row = present.into_iter().find(|row| row.key == batch);
-                    let meta = row
-                        .as_ref()
-                        .and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
+                    let meta =
+                        row.as_ref().and_then(|row| rows::decode_meta(row.value.as_deref()?).ok());
                     // Committed by this very call, whose reply was lost.
                     let is_local =
                         meta.is_some_and(|meta| meta.epoch == 1 && meta.writer == *writer);
--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -11,7 +11,10 @@
 use tokio::{sync::watch, task::AbortHandle};
 
 use super::{Meta, Outcome, Partial, Record, Submission, listing::Listing, reward::Scoring};
-use crate::fleet::{End, Fleet, Worker};
+use crate::{
+    config::Config,
+    fleet::{End, Fleet, Worker},
+};
 
 /// Longest delay of finished results that wait to share a transaction. Readers poll twice a second
 /// and return with what is available, so a result that is published shortly before the last one of
@@ -233,6 +236,13 @@
         execution
     }
 
+    /// Whether `config` may decide about the routes of the batch. An older configuration than the
+    /// one under which the batch was accepted may lack them, or have others in their place.
+    #[must_use]
+    pub fn has_routes_in(&self, config: &Config) -> bool {
+        config.version >= self.meta.config_version
+    }
+
     fn count_groups(&mut self) {
         for (item, state) in self.submission.items.iter().zip(&self.states) {
             let group = item.group as usize;
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -149,4 +149,8 @@
     pub ended: bool,
     /// Whether all results are stored.
     pub complete: bool,
+    /// Version of the configuration under which the batch was accepted. An owner with an older one
+    /// may lack its routes. Stored after the other fields, see [`rows`].
+    #[serde(skip)]
+    pub config_version: u64,
 }
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -13,9 +13,9 @@
 //! is fixed, so that a new VM reads all owners' rows in a few calls. The heartbeats are in
 //! `batches` too, so that one feed delivers both.
 //!
-//! A submission with reward calls and the output of an item that waits for its score have an
-//! extension after the value. Without one the bytes are those of earlier versions, which ignore an
-//! extension.
+//! Owners' rows, submissions with reward calls and outputs of items that wait for their score have
+//! an extension after the value. Without one the bytes are those of earlier versions, which ignore
+//! an extension.
 
 use std::hash::{Hash, Hasher};
 
@@ -269,6 +269,21 @@
     encode_extended(submission, (!calls.is_empty()).then_some(&calls))
 }
 
+/// Encodes an owner's row.
+#[must_use]
+pub fn encode_meta(meta: &Meta) -> Bytes {
+    encode_extended(meta, Some(&meta.config_version))
+}
+
+/// Decodes an owner's row.
+///
+/// # Errors
+/// Fails if the bytes are not an owner's row.
+pub fn decode_meta(bytes: &[u8]) -> Result<Meta, DecodeError> {
+    let (meta, config_version) = decode_extended(bytes)?;
+    Ok(Meta { config_version, ..meta })
+}
+
 /// Encodes the output of an unfinished item.
 #[must_use]
 pub fn encode_partial(partial: &Partial) -> Bytes {
--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -323,7 +323,7 @@
     let meta = Meta { owner: Some(local_owner.clone()), epoch: meta.epoch + 1, ..meta };
     let transaction = Transaction {
         checks: vec![(rows::meta_key(batch), row_version)],
-        writes: vec![(rows::meta_key(batch), rows::encode(&meta))],
+        writes: vec![(rows::meta_key(batch), rows::encode_meta(&meta))],
         deletes: Vec::new(),
     };
     let commit = store.transact(transaction).await?;
--- a/components/entry/src/batch/task/handover.rs
+++ b/components/entry/src/batch/task/handover.rs
@@ -115,7 +115,7 @@
         }
     }
     let meta = Meta { owner: None, ..execution.meta.clone() };
-    pending.push((rows::meta_key(batch), rows::encode(&meta)));
+    pending.push((rows::meta_key(batch), rows::encode_meta(&meta)));
     write_rows(store, batch, execution.row_version, pending).await
 }
 
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -207,12 +207,12 @@
             return;
         }
         let Some(config) = self.shared.config() else { return };
-        let keys: Vec<Handle<Execution>> = self.executions.iter().map(|(key, _)| key).collect();
-        let order = {
-            let executions: Vec<&Execution> =
-                keys.iter().filter_map(|key| self.executions.get(*key)).collect();
-            plan::dispatch_order(&executions, now)
-        };
+        let (keys, executions): (Vec<Handle<Execution>>, Vec<&Execution>) = self
+            .executions
+            .iter()
+            .filter(|(_, execution)| execution.has_routes_in(&config))
+            .unzip();
+        let order = plan::dispatch_order(&executions, now);
         // Full services are not tried again in this round.
         let mut full_services: Vec<(String, u64)> = Vec::new();
         for (index, item) in order {
@@ -361,6 +361,9 @@
         let Some(config) = self.shared.config() else { return };
         let mut fleet = self.shared.fleet();
         for (_, execution) in self.executions.iter_mut() {
+            if !execution.has_routes_in(&config) {
+                continue;
+            }
             for item in 0..execution.states.len() {
                 let path = &execution.submission.items[item].path;
                 let Some(route) = config.route(&execution.meta.host, path) else { continue };
@@ -391,6 +394,9 @@
         let Some(config) = self.shared.config() else { return };
         let mut moves: Vec<(f64, Handle<Execution>, usize)> = Vec::new();
         for (key, execution) in self.executions.iter() {
+            if !execution.has_routes_in(&config) {
+                continue;
+            }
             for item in 0..execution.states.len() {
                 if let Some((_, gain_ms)) = self.find_move(execution, item, &config, now) {
                     moves.push((gain_ms, key, item));
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -63,6 +63,14 @@
             .with("partials", partials.len())
             .with("age_ms", now.since(accepted_at).as_millis())
             .info();
+        let config_version = self.shared.config().map_or(0, |config| config.version);
+        if meta.config_version > config_version {
+            Line::new("batch_awaits_config")
+                .with("batch", &batch)
+                .with("config", config_version)
+                .with("accepted_under", meta.config_version)
+                .info();
+        }
         self.directory.set_meta(&batch, Some(meta.clone()));
         let mut execution =
             Execution::new(&batch, meta, row_version, submission, accepted_at, results, partials);
@@ -175,7 +183,7 @@
             self.directory.set_meta(batch, None);
             return;
         };
-        let meta: Meta = match rows::decode(value) {
+        let meta: Meta = match rows::decode_meta(value) {
             Ok(meta) => meta,
             Err(error) => {
                 Line::new("row_corrupt").with("batch", batch).with("reason", error).error();
--- a/components/entry/src/batch/task/results.rs
+++ b/components/entry/src/batch/task/results.rs
@@ -91,7 +91,7 @@
         present: &[Row],
     ) {
         let row = present.iter().find(|row| row.key == batch);
-        let meta = row.and_then(|row| rows::decode::<Meta>(row.value.as_deref()?).ok());
+        let meta = row.and_then(|row| rows::decode_meta(row.value.as_deref()?).ok());
         let (Some(row), Some(meta)) = (row, meta) else {
             Line::new("batch_lost")
                 .with("batch", batch)
@@ -252,7 +252,7 @@
     }
     if append.first + append.results.len() == execution.states.len() {
         let meta = Meta { complete: true, ..execution.meta.clone() };
-        writes.push((rows::meta_key(batch), rows::encode(&meta)));
+        writes.push((rows::meta_key(batch), rows::encode_meta(&meta)));
     }
     let checks = vec![
         (rows::meta_key(batch), execution.row_version),
--- a/components/entry/src/batch/task/rewards.rs
+++ b/components/entry/src/batch/task/rewards.rs
@@ -35,17 +35,17 @@
             return;
         }
         let Some(config) = self.shared.config() else { return };
-        let keys: Vec<Handle<Execution>> = self.executions.iter().map(|(key, _)| key).collect();
-        let order = {
-            let executions: Vec<&Execution> =
-                keys.iter().filter_map(|key| self.executions.get(*key)).collect();
-            plan::call_order(&executions, |execution, item| {
-                let Phase::Scoring(scoring) = &execution.states[item].phase else { return false };
-                let route = call_route(execution, item, &config);
-                let hedge_delay = route.map_or(Duration::ZERO, |route| self.hedge_delay(route));
-                scoring.is_due(hedge_delay, now)
-            })
-        };
+        let (keys, executions): (Vec<Handle<Execution>>, Vec<&Execution>) = self
+            .executions
+            .iter()
+            .filter(|(_, execution)| execution.has_routes_in(&config))
+            .unzip();
+        let order = plan::call_order(&executions, |execution, item| {
+            let Phase::Scoring(scoring) = &execution.states[item].phase else { return false };
+            let route = call_route(execution, item, &config);
+            let hedge_delay = route.map_or(Duration::ZERO, |route| self.hedge_delay(route));
+            scoring.is_due(hedge_delay, now)
+        });
         // Full services are not tried again in this round.
         let mut full_services: Vec<String> = Vec::new();
         for (index, item) in order {
--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -74,7 +74,7 @@
                     "a batch is posted with an identifier",
                 );
             };
-            return self.calls.submit::<D>(batch, &host, &body).await;
+            return self.calls.submit::<D>(batch, &host, &body, config.version).await;
         }
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -30,6 +30,7 @@
         accepted_ms: 0,
         ended: false,
         complete: false,
+        config_version: 1,
     }
 }
 
--- a/components/entry/tests/rewards.rs
+++ b/components/entry/tests/rewards.rs
@@ -55,6 +55,7 @@
         accepted_ms,
         ended: false,
         complete: false,
+        config_version: 1,
     };
     let submission =
         Submission { model: "m".to_owned(), wanted, groups, items, ..Submission::default() };
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -28,6 +28,7 @@
         accepted_ms: 0,
         ended: false,
         complete: false,
+        config_version: 1,
     }
 }
 
