Streams: only a response with status 200 starts or resumes a stream

Cause: `forward::stream` never looked at the status. At a resumption the head is dropped, an empty body counted as the end of the stream, and a body that reads like an event as one.

Change: a response with another status is read whole. It is forwarded as it is while nothing has been sent to the caller, after the attempts that a resumable route allows for server errors; afterwards it is a failed attempt. Events without a number break a resumable stream once it has numbered ones. Failed attempts and streams that are not resumed have a log line.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -287,7 +287,7 @@
         let Some(id) = event.id else {
             return Err(Finish::Broken("event without an identifier".to_owned()));
         };
-        if partial.last_event.is_some_and(|last| id != last + 1) {
+        if partial.last_event.is_some_and(|last| last.checked_add(1) != Some(id)) {
             return Err(Finish::Broken(format!("event {id} out of order")));
         }
         if (partial.text.len() + event.data.len()) as u64 > self.output_limit {
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -7,13 +7,15 @@
 use filbertsail_http::Body;
 use filbertsail_telemetry::event::Line;
 use http::{Request, Response, StatusCode, header::HeaderName};
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::Job;
 use crate::{
-    channel::{Pool, Terms},
+    channel::{Channel, Pool, Terms},
     dialect::{Answer, Dialect, Dispatch},
     fleet::{End, Entry, Worker},
+    foreign::Fault,
     shared::Shared,
 };
 
@@ -178,21 +180,31 @@
     if let Some(end) = check_head(shared, worker, job, response.status(), &answer) {
         return end;
     }
+    match read_whole(shared, response, channel, &answer).await {
+        Err(fault) => (failed(Verdict::MayHaveRun, fault.reason()), End::Failure),
+        Ok(response) if response.status().is_server_error() => {
+            (Finish::Error(response), End::Failure)
+        }
+        Ok(response) => (Finish::Success(response), End::Success),
+    }
+}
+
+/// Reads the whole body of a response whose head was checked, and keeps the connection.
+///
+/// # Errors
+/// Fails if the body breaks off or is too long.
+pub(super) async fn read_whole(
+    shared: &Shared,
+    response: Response<Incoming>,
+    channel: Channel,
+    answer: &Answer,
+) -> Result<Response<Body>, Fault> {
     let (mut head, body) = response.into_parts();
-    let body = match shared.foreign.read(body).await {
-        Ok(body) => body,
-        Err(fault) => return (failed(Verdict::MayHaveRun, fault.reason()), End::Failure),
-    };
+    let body = shared.foreign.read(body).await?;
     shared.pool.keep(channel, answer.keep_alive, shared.now());
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
-    let failed = head.status.is_server_error();
-    let response = Response::from_parts(head, Body::full(body));
-    if failed {
-        (Finish::Error(response), End::Failure)
-    } else {
-        (Finish::Success(response), End::Success)
-    }
+    Ok(Response::from_parts(head, Body::full(body)))
 }
 
 /// Checks the head of a response; nothing if its body may be forwarded.
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -1,7 +1,9 @@
 //! Forwarding of event streams.
 //!
 //! Events are forwarded as soon as they are complete. Where the route allows it, a broken stream is
-//! resumed at another worker after the last forwarded event; the caller sees one response.
+//! resumed at another worker after the last forwarded event; the caller sees one response. A worker
+//! that responds with another status than 200 sends no events: its response is forwarded whole if
+//! nothing was sent to the caller yet, and is a failed attempt otherwise.
 
 use std::time::Duration;
 
@@ -10,7 +12,7 @@
 use filbertsail_errors::Verdict;
 use filbertsail_http::{Body, body::Abort};
 use filbertsail_telemetry::event::Line;
-use http::{Response, response::Parts};
+use http::{Response, StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::{
@@ -62,7 +64,8 @@
     let upstream = open::<D>(shared, route, &job, last_event, &mut tried).await;
     let mut stream = match upstream {
         Ok(stream) => stream,
-        Err((verdict, reason)) => {
+        Err(Unopened { response: Some(response), .. }) => return *response,
+        Err(Unopened { verdict, reason, .. }) => {
             return failure_response(shared, route, &job, verdict, reason, tried.len());
         }
     };
@@ -75,22 +78,36 @@
     Response::from_parts(head, body)
 }
 
-/// Tries workers until one sends a response head.
+/// Why no worker sends events.
+struct Unopened {
+    /// Whether the request may have run.
+    verdict: Verdict,
+    reason: &'static str,
+    /// Last response of a worker that is not a stream.
+    response: Option<Box<Response<Body>>>,
+}
+
+impl Unopened {
+    fn new(verdict: Verdict, reason: &'static str) -> Self {
+        Self { verdict, reason, response: None }
+    }
+}
+
+/// Tries workers until one starts to send events.
 async fn open<D: Dialect>(
     shared: &Shared,
     route: &Route,
     job: &Job,
     last_event: Option<u64>,
     tried: &mut Vec<Key<Worker>>,
-) -> Result<Upstream, (Verdict, &'static str)> {
+) -> Result<Upstream, Unopened> {
     let deadline = job.deadline(route);
-    let mut verdict = Verdict::NotRun;
-    let mut failure = "no worker known";
+    let mut last = Unopened::new(Verdict::NotRun, "no worker known");
     while tried.len() < route.max_attempts.max(1) as usize {
         let now = shared.now();
         let time_left = deadline.since(now);
         if time_left.is_zero() {
-            return Err((verdict, "out of time"));
+            return Err(Unopened { reason: "out of time", ..last });
         }
         let Some(service) = route.service(&mut rand::rng()) else { break };
         let Some(worker) = choose(shared, service, tried, route.resumable, now) else { break };
@@ -103,43 +120,69 @@
             Ok(Ok((head, body, channel, answer))) => {
                 return Ok(Upstream { head, body, channel, answer, guard });
             }
-            Ok(Err(cause)) => cause,
-            Err(_) => ((Verdict::MayHaveRun, "no answer in time"), End::Failure),
+            Ok(Err(failure)) => failure,
+            Err(_) => (Unopened::new(Verdict::MayHaveRun, "no answer in time"), End::Failure),
         };
         let mut guard = guard;
         guard.end = end;
-        verdict = verdict.combine(cause.0);
-        failure = cause.1;
-        if !verdict.may_retry() && !route.resumable {
+        Line::new("request_attempt")
+            .with("id", job.id())
+            .with("worker", &entry.id)
+            .with("status", cause.response.as_ref().map_or(0, |it| it.status().as_u16()))
+            .with("reason", cause.reason)
+            .with("limit_ms", limit.as_millis())
+            .with("took_ms", shared.now().since(now).as_millis())
+            .info();
+        let is_final = cause.response.as_ref().is_some_and(|it| !it.status().is_server_error());
+        last = Unopened {
+            verdict: last.verdict.combine(cause.verdict),
+            response: cause.response.or(last.response),
+            ..cause
+        };
+        if is_final || (!last.verdict.may_retry() && !route.resumable) {
             break;
         }
     }
-    Err((verdict, failure))
+    Err(last)
 }
 
-type Failure = ((Verdict, &'static str), End);
-
+/// Sends the request to a worker and waits for the head of its event stream.
 async fn head<D: Dialect>(
     shared: &Shared,
     entry: &Entry,
     job: &Job,
     last_event: Option<u64>,
     time_left: Duration,
-) -> Result<(Parts, Incoming, Channel, Answer), Failure> {
+) -> Result<(Parts, Incoming, Channel, Answer), (Unopened, End)> {
+    let failed = |verdict, reason, end| Err((Unopened::new(verdict, reason), end));
     let Some(request) = attempt::request::<D>(job, entry, time_left, last_event) else {
-        return Err(((Verdict::NotRun, "request cannot be passed on"), End::Inconclusive));
+        return failed(Verdict::NotRun, "request cannot be passed on", End::Inconclusive);
     };
     let terms = Terms::identified(false);
-    let result = shared.pool.send(entry.address, request, terms, shared.now()).await;
     let (response, channel) =
-        result.map_err(|cause| ((cause.verdict, "no connection"), End::Failure))?;
+        match shared.pool.send(entry.address, request, terms, shared.now()).await {
+            Ok(exchange) => exchange,
+            Err(fault) => return failed(fault.verdict, "no connection", End::Failure),
+        };
     let answer = D::decode_answer(response.headers());
-    match attempt::check_head(shared, entry, job, response.status(), &answer) {
-        Some((attempt::Finish::Failed { verdict, reason }, end)) => Err(((verdict, reason), end)),
-        _ => {
-            let (head, body) = response.into_parts();
-            Ok((head, body, channel, answer))
+    if let Some((attempt::Finish::Failed { verdict, reason }, end)) =
+        attempt::check_head(shared, entry, job, response.status(), &answer)
+    {
+        return failed(verdict, reason, end);
+    }
+    if response.status() == StatusCode::OK {
+        let (head, body) = response.into_parts();
+        return Ok((head, body, channel, answer));
+    }
+    match attempt::read_whole(shared, response, channel, &answer).await {
+        Ok(response) => {
+            let is_error = response.status().is_server_error();
+            let end = if is_error { End::Failure } else { End::Success };
+            let reason = "no stream from the worker";
+            let response = Some(Box::new(response));
+            Err((Unopened { verdict: Verdict::Ran, reason, response }, end))
         }
+        Err(fault) => failed(Verdict::MayHaveRun, fault.reason(), End::Failure),
     }
 }
 
@@ -173,7 +216,17 @@
                 .warn();
             let next = if self.route.resumable {
                 let tried = &mut self.tried;
-                open::<D>(&self.shared, &self.route, &self.job, last_event, tried).await.ok()
+                open::<D>(&self.shared, &self.route, &self.job, last_event, tried)
+                    .await
+                    .inspect_err(|cause| {
+                        Line::new("stream_not_resumed")
+                            .with("id", self.job.id())
+                            .with("reason", cause.reason)
+                            .with("last_event", last_event.unwrap_or(0))
+                            .with("attempts", tried.len())
+                            .warn();
+                    })
+                    .ok()
             } else {
                 None
             };
@@ -232,7 +285,9 @@
                 match parser.take() {
                     Ok(Some(event)) => {
                         let is_next = match (*last_event, event.id) {
-                            (Some(last), Some(id)) => id == last + 1,
+                            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
+                            // Without a number, its place in the stream is unknown.
+                            (Some(_), None) => !self.route.resumable,
                             _ => true,
                         };
                         if !is_next {
