Batches: calls on a stored batch do not depend on present routes

Cause: `Ingress::respond` looked for a route with the host of the call before it looked for the batch.

Change: reads, bodies and ends of batches are answered from the batch. A repeated submission of an accepted batch gets 202 also without a route; unknown batches and new submissions still get 404.

--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -45,6 +45,17 @@
 }
 
 impl<S: Store> Calls<S> {
+    /// Whether a submission repeats a batch that is known to be accepted.
+    #[must_use]
+    pub fn is_accepted(&self, batch: &str) -> bool {
+        let is_accepted =
+            self.directory.get(batch).is_some() || self.directory.meta(batch).is_some();
+        if is_accepted {
+            Line::new("batch_repeated").with("batch", batch).info();
+        }
+        is_accepted
+    }
+
     /// Accepts a batch on a route of the configuration `config_version`; all its rows are in the
     /// store before the response.
     pub async fn submit<D: Dialect>(
@@ -54,8 +65,7 @@
         body: &[u8],
         config_version: u64,
     ) -> Response<Body> {
-        if self.directory.get(batch).is_some() || self.directory.meta(batch).is_some() {
-            Line::new("batch_repeated").with("batch", batch).info();
+        if self.is_accepted(batch) {
             return status(StatusCode::ACCEPTED);
         }
         let submission = match D::decode_submission(body) {
--- a/components/entry/src/config/mod.rs
+++ b/components/entry/src/config/mod.rs
@@ -119,10 +119,4 @@
             .filter(|route| route.host == host && path.starts_with(&route.prefix))
             .max_by_key(|route| route.prefix.len())
     }
-
-    /// Whether any route has `host`.
-    #[must_use]
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes.iter().any(|route| route.host == host)
-    }
 }
--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -46,9 +46,6 @@
         let path = head.uri.path();
         let host = host(&head.headers, &head.uri);
         let call = D::classify(&head.method, path, head.uri.query(), &head.headers);
-        if call != Call::Route && !config.has_host(&host) {
-            return not_found(&host, path, &config);
-        }
         match call {
             Call::Results { batch, after, wait } => {
                 return self.calls.results::<D>(&batch, after, wait).await;
@@ -58,10 +55,15 @@
             Call::Unknown => return reply::json(StatusCode::BAD_REQUEST, "malformed call"),
             Call::Route => {}
         }
+        let caller = D::decode_caller(&head.headers);
         let Some(route) = config.route(&host, path).cloned() else {
+            let batch = caller.id.as_ref().and_then(|id| id.to_str().ok());
+            if head.method == Method::POST && batch.is_some_and(|id| self.calls.is_accepted(id)) {
+                // The route was removed after the batch was accepted.
+                return reply::status(StatusCode::ACCEPTED);
+            }
             return not_found(&host, path, &config);
         };
-        let caller = D::decode_caller(&head.headers);
         let body = match self.read_body(body, &config).await {
             Ok(body) => body,
             Err(response) => return response,
