Registry: odd entries and the largest numbers

Operators of a similar system saw daemons end, or stop following the registry, for one odd entry of another writer.

--- a/components/entry/src/fleet/item.rs
+++ b/components/entry/src/fleet/item.rs
@@ -115,5 +115,6 @@
             .version(requirements.model)
             .is_some_and(|version| version >= requirements.min_version)
         && worker.load(now) < worker.entry.slots
-        && (worker.in_flight == 0 || worker.reserved_tokens + requirements.tokens <= memory)
+        && (worker.in_flight == 0
+            || worker.reserved_tokens.saturating_add(requirements.tokens) <= memory)
 }
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -118,7 +118,7 @@
         let stated = self.stated_by_worker.filter(|(_, at)| {
             now.since(*at) < max_age && newest.is_none_or(|newest| *at >= newest)
         });
-        self.in_flight + stated.map_or(of_peers, |(others, _)| others)
+        self.in_flight.saturating_add(stated.map_or(of_peers, |(others, _)| others))
     }
 
     /// Factor by which `load` concurrent requests slow down the events.
@@ -292,7 +292,7 @@
     pub fn record_dispatch(&mut self, key: Key<Worker>, tokens: u64, now: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.in_flight += 1;
-            worker.reserved_tokens += tokens;
+            worker.reserved_tokens = worker.reserved_tokens.saturating_add(tokens);
             worker.breaker.record_dispatch(now);
         }
     }
@@ -324,7 +324,7 @@
     /// Records the load stated in a response.
     pub fn record_load(&mut self, key: Key<Worker>, load: Load, now: Instant) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let total = load.running + load.waiting;
+        let total = load.running.saturating_add(load.waiting);
         worker.stated_by_worker = Some((total.saturating_sub(worker.in_flight), now));
     }
 
@@ -355,7 +355,7 @@
         let typical = self.typical_interval_ms(&worker.entry.service);
         let idle_interval_ms =
             if worker.idle_interval_ms > 0.0 { worker.idle_interval_ms } else { typical };
-        idle_interval_ms * worker.slowdown(worker.load(now) + more)
+        idle_interval_ms * worker.slowdown(worker.load(now).saturating_add(more))
     }
 
     /// What this VM knows of the workers that it uses, for the other VMs.
--- a/components/entry/src/weights/plan.rs
+++ b/components/entry/src/weights/plan.rs
@@ -280,7 +280,7 @@
 
 /// Whether the steps of a model may use a worker.
 fn is_in_use(view: &View, target: &Target) -> bool {
-    view.version(&target.model).is_some_and(|version| version + 1 >= target.version)
+    view.version(&target.model).is_some_and(|version| version.saturating_add(1) >= target.version)
 }
 
 impl State {
@@ -292,7 +292,8 @@
         if let Some(pending) = self.pending.take_if(|pending| shows(pending)) {
             self.busy = false;
             // A report taken during the load already counts the order.
-            self.accepted_orders = self.accepted_orders.max(Some(pending.expected_orders + 1));
+            self.accepted_orders =
+                self.accepted_orders.max(Some(pending.expected_orders.saturating_add(1)));
         }
     }
 
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -224,3 +224,21 @@
     assert!(back.may_have_lapsed(at(9_500)));
     assert!(!back.may_have_lapsed(at(10_600)));
 }
+
+/// Guards against a panic on the largest numbers that a worker or another writer of its entry can
+/// state.
+#[test]
+fn can_bear_the_largest_numbers() {
+    let mut fleet = Fleet::default();
+    let models = vec![("m".to_owned(), u64::MAX)];
+    fleet.apply_entry(Entry { slots: u32::MAX, models, ..entry("one", "a") });
+    let key = fleet.key("one").expect("added");
+    let load = Load { running: u32::MAX, waiting: u32::MAX, slots: u32::MAX };
+    fleet.record_load(key, load, at(1));
+    fleet.record_dispatch(key, u64::MAX, at(1));
+    fleet.record_dispatch(key, u64::MAX, at(1));
+    fleet.record_interval(key, f64::MAX, at(2));
+    assert_eq!(fleet.get(key).expect("added").load(at(2)), u32::MAX);
+    assert!(fleet.expected_interval_ms(key, u32::MAX, at(2)) >= 0.0);
+    assert_eq!(place(&fleet, &REQUIREMENTS, 2), None);
+}
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -234,3 +234,23 @@
     assert!(throttle.must_reread(false, at(800)));
     assert!(!throttle.must_reread(true, at(9_000)));
 }
+
+/// Guards against a panic, which ends all orders of the service, on the largest numbers that a
+/// worker or another writer of its entry can state.
+#[test]
+fn can_bear_the_largest_numbers() {
+    let fleet = fleet(3);
+    let mut views = views(&fleet);
+    views[0].versions = vec![("m".to_owned(), u64::MAX), ("n".to_owned(), 1)];
+    views[0].load = u32::MAX;
+    let mut planner = Planner::default();
+    for ms in (0..5_000).step_by(100) {
+        for action in planner.plan(&views, &targets(2, 2), at(ms)) {
+            let reply = match &action {
+                Action::Query(_) => report(u64::MAX, false),
+                Action::Order { .. } => Reply::Accepted,
+            };
+            planner.record_reply(&Exchange { action, reply }, at(ms));
+        }
+    }
+}
