Workers that leave: responses state it before the registry does

The platform's workers now state in each response that they are leaving, and a requester's request must not reach such a worker from a VM that has passed such a response on, whatever the VM knows from the registry.

Change: the header is decoded with the others and recorded for the worker in one function for forwarded requests, streams, items, reward calls, reports and orders, which replaces three copies for the load. The worker takes no new requests until it starts again. The fleet remembers it for five minutes after its entry was removed, since an entry may lapse and come back. A 421 comes from another instance at the address and is not recorded.

The test of the fleet covers entries that lag, lapse, and come back, and a restart.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -177,9 +177,8 @@
         if answer.id.as_ref().is_some_and(|id| id.as_bytes() != self.id.as_bytes()) {
             return Some(Finish::Broken("response to another request".to_owned()));
         }
-        let now = shared.now();
-        if let Some(load) = answer.load {
-            shared.fleet().record_load(self.worker, load, now);
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            shared.record_answer(self.worker, answer);
         }
         if answer.not_run {
             return Some(Finish::Refused(REFUSAL_PAUSE));
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -100,8 +100,8 @@
         if answer.id.as_ref().is_some_and(|id| id.as_bytes() != self.call.id.as_bytes()) {
             return Finish::Broken("response to another request".to_owned());
         }
-        if let Some(load) = answer.load {
-            shared.fleet().record_load(self.worker, load, shared.now());
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            shared.record_answer(self.worker, &answer);
         }
         match response.status() {
             StatusCode::MISDIRECTED_REQUEST => return Finish::Refused(MISDIRECTED_PAUSE),
--- a/components/entry/src/dialect/mod.rs
+++ b/components/entry/src/dialect/mod.rs
@@ -85,6 +85,8 @@
     pub version: Option<u64>,
     /// How long the worker keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the worker states that it is shutting down.
+    pub is_leaving: bool,
     /// Whether the response has the worker's signature and no content encoding added on the way.
     pub is_genuine: bool,
     /// The worker's signature of the response. For a reward call, it is the score.
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -38,6 +38,9 @@
 const TYPICAL_INTERVAL_REFRESH: Duration = Duration::from_millis(100);
 /// Number of workers from which a service counts as large.
 const LARGE_SERVICE_WORKERS: usize = 64;
+/// How long a worker that stated that it is leaving is remembered after its entry was removed. It
+/// exits within seconds to a minute, and its entry may come back until then.
+const LEAVER_RETENTION: Duration = Duration::from_secs(300);
 /// Time within which entries that lapsed during a store outage come back.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
@@ -93,6 +96,8 @@
     pub paused_until: Instant,
     /// When its entry lapsed during a store outage.
     lapsed_at: Option<Instant>,
+    /// Whether it stated in a response that it is leaving. Its entry may lag behind.
+    is_leaving: bool,
 }
 
 impl Worker {
@@ -166,6 +171,22 @@
     // The keys come from the registry, which only the platform writes, so they are trusted.
     ids: HashMap<String, Key<Worker>>,
     services: HashMap<String, Service>,
+    leavers: Vec<Leaver>,
+}
+
+/// Worker that stated that it is leaving.
+#[derive(Clone, Debug)]
+struct Leaver {
+    id: String,
+    started_ms: Option<u64>,
+    address: SocketAddr,
+    stated_at: Instant,
+}
+
+impl Leaver {
+    fn is(&self, entry: &Entry) -> bool {
+        (&self.id, self.started_ms, self.address) == (&entry.id, entry.started_ms, entry.address)
+    }
 }
 
 /// Workers of a service.
@@ -263,7 +284,22 @@
         ids
     }
 
-    fn add(&mut self, entry: Entry) {
+    /// Records that a worker stated in a response that it is leaving; returns whether this is new.
+    pub fn record_leaving(&mut self, key: Key<Worker>, now: Instant) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else { return false };
+        if std::mem::replace(&mut worker.is_leaving, true) {
+            return false;
+        }
+        worker.entry.draining = true;
+        let Entry { id, started_ms, address, .. } = worker.entry.clone();
+        self.leavers.retain(|leaver| now.since(leaver.stated_at) < LEAVER_RETENTION);
+        self.leavers.push(Leaver { id, started_ms, address, stated_at: now });
+        true
+    }
+
+    fn add(&mut self, mut entry: Entry) {
+        let is_leaving = self.leavers.iter().any(|leaver| leaver.is(&entry));
+        entry.draining |= is_leaving;
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.workers.insert(Worker {
             entry,
@@ -275,6 +311,7 @@
             breaker: Breaker::default(),
             paused_until: Instant::default(),
             lapsed_at: None,
+            is_leaving,
         });
         self.ids.insert(id, key);
         self.services.entry(service).or_default().workers.push(key);
@@ -442,6 +479,7 @@
 impl Worker {
     fn update_entry(&mut self, entry: Entry) {
         let known = std::mem::replace(&mut self.entry, entry).models;
+        self.entry.draining |= self.is_leaving;
         // The registry lags behind the responses of the worker.
         for (model, version) in known {
             self.raise_version(&model, version);
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -98,7 +98,7 @@
     let Some((entry, mut guard)) = Guard::start(shared, worker) else {
         return failed(Verdict::NotRun, "worker gone");
     };
-    let exchange = exchange::<D>(shared, &entry, job, idempotent, time_left);
+    let exchange = exchange::<D>(shared, (worker, &entry), job, idempotent, time_left);
     let (finish, end) = match timeout(limit, exchange).await {
         Ok(done) => done,
         Err(_) => (failed(Verdict::MayHaveRun, "no answer in time"), End::Failure),
@@ -155,17 +155,17 @@
 
 async fn exchange<D: Dialect>(
     shared: &Shared,
-    worker: &Entry,
+    (worker, entry): (Key<Worker>, &Entry),
     job: &Job,
     idempotent: bool,
     time_left: Duration,
 ) -> (Finish, End) {
-    let Some(request) = request::<D>(job, worker, time_left, None) else {
+    let Some(request) = request::<D>(job, entry, time_left, None) else {
         return (failed(Verdict::NotRun, "request cannot be passed on"), End::Inconclusive);
     };
     let pool: &Pool = &shared.pool;
     let terms = Terms::identified(idempotent);
-    let result = pool.send(worker.address, request, terms, shared.now()).await;
+    let result = pool.send(entry.address, request, terms, shared.now()).await;
     let (response, channel) = match result {
         Ok(exchange) => exchange,
         Err(fault) => {
@@ -210,7 +210,7 @@
 /// Checks the head of a response; nothing if its body may be forwarded.
 pub(super) fn check_head(
     shared: &Shared,
-    worker: &Entry,
+    worker: Key<Worker>,
     job: &Job,
     status: StatusCode,
     answer: &Answer,
@@ -218,16 +218,11 @@
     if answer.id.is_some() && answer.id != job.caller.id {
         return Some((failed(Verdict::MayHaveRun, "answer to another request"), End::Failure));
     }
-    if let Some(load) = answer.load {
-        let mut fleet = shared.fleet();
-        if let Some(key) = fleet.key(&worker.id) {
-            fleet.record_load(key, load, shared.now());
-        }
-    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         let end = End::Refused { pause: MISDIRECTED_PAUSE };
         return Some((failed(Verdict::NotRun, "another worker has the address"), end));
     }
+    shared.record_answer(worker, answer);
     if answer.not_run {
         let end = End::Refused { pause: REFUSAL_PAUSE };
         return Some((failed(Verdict::NotRun, "refused by the worker"), end));
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -115,7 +115,7 @@
         let Some((entry, guard)) = Guard::start(shared, worker) else { continue };
         let may_retry = route.resumable && tried.len() < route.max_attempts as usize;
         let limit = if may_retry { time_left.min(HEAD_TIMEOUT) } else { time_left };
-        let exchange = head::<D>(shared, &entry, job, last_event, time_left);
+        let exchange = head::<D>(shared, (worker, &entry), job, last_event, time_left);
         let (cause, end) = match timeout(limit, exchange).await {
             Ok(Ok((head, body, channel, answer))) => {
                 return Ok(Upstream { head, body, channel, answer, guard });
@@ -149,7 +149,7 @@
 /// Sends the request to a worker and waits for the head of its event stream.
 async fn head<D: Dialect>(
     shared: &Shared,
-    entry: &Entry,
+    (worker, entry): (Key<Worker>, &Entry),
     job: &Job,
     last_event: Option<u64>,
     time_left: Duration,
@@ -166,7 +166,7 @@
         };
     let answer = D::decode_answer(response.headers());
     if let Some((attempt::Finish::Failed { verdict, reason }, end)) =
-        attempt::check_head(shared, entry, job, response.status(), &answer)
+        attempt::check_head(shared, worker, job, response.status(), &answer)
     {
         return failed(verdict, reason, end);
     }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -6,10 +6,18 @@
 };
 
 use filbertsail_clock::{Boot, Instant, Source};
-use filbertsail_collections::HashMap;
+use filbertsail_collections::{HashMap, arena::Key};
+use filbertsail_telemetry::event::Line;
 use tokio::sync::watch;
 
-use crate::{channel::Pool, config::Config, fleet::Fleet, foreign::Budget, metrics::Metrics};
+use crate::{
+    channel::Pool,
+    config::Config,
+    dialect::Answer,
+    fleet::{Fleet, Worker},
+    foreign::Budget,
+    metrics::Metrics,
+};
 
 /// Time after a store outage within which the feed delivers deletions of entries that lapsed
 /// meanwhile.
@@ -136,6 +144,21 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records what a response states about its worker: its load, and whether it is leaving.
+    pub fn record_answer(&self, worker: Key<Worker>, answer: &Answer) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        if let Some(load) = answer.load {
+            fleet.record_load(worker, load, now);
+        }
+        if answer.is_leaving && fleet.record_leaving(worker, now) {
+            let id = fleet.get(worker).map_or("", |worker| worker.entry.id.as_str());
+            Line::new("worker_leaving").with("worker", id).with("source", "response").info();
+            drop(fleet);
+            self.fleet_changed.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Active configuration; nothing before it has been read.
     #[must_use]
     pub fn config(&self) -> Option<Arc<Config>> {
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use filbertsail_cluster::lease::Grant;
-use filbertsail_collections::HashSet;
+use filbertsail_collections::{HashSet, arena::Key};
 use filbertsail_http::Body;
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::event::Line;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::mpsc,
@@ -20,6 +20,7 @@
     channel::{Matching, Terms},
     config::{Kind, Service},
     dialect::{Dialect, Order, Swap},
+    fleet::Worker,
     relay::Peers,
     shared::Shared,
 };
@@ -197,7 +198,7 @@
             let may_order = grant.allows_orders(shared.now(), false);
             let reply = match &line {
                 Some(_) if !may_order => Reply::Refused,
-                _ => call::<D>(&shared, entry.address, request, line.is_some()).await,
+                _ => call::<D>(&shared, (worker, entry.address), request, line.is_some()).await,
             };
             if let Some(line) = line {
                 shared.metrics.count_order(reply.name());
@@ -225,7 +226,7 @@
 
 async fn call<D: Dialect>(
     shared: &Shared,
-    address: SocketAddr,
+    (worker, address): (Key<Worker>, SocketAddr),
     request: Request<Bytes>,
     is_order: bool,
 ) -> Reply {
@@ -244,6 +245,9 @@
             Line::new("reply_misdirected").with("address", address).with("order", is_order).warn();
             return None;
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            shared.record_answer(worker, &answer);
+        }
         if is_order || is_report {
             shared.pool.keep(channel, answer.keep_alive, shared.now());
         }
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -242,3 +242,34 @@
     assert!(fleet.expected_interval_ms(key, u32::MAX, at(2)) >= 0.0);
     assert_eq!(place(&fleet, &REQUIREMENTS, 2), None);
 }
+
+/// Guards against requests to a worker that has stated that it is leaving, because its entry lags
+/// behind, was removed or lapsed and came back.
+#[test]
+fn can_remember_leaving_workers() {
+    let mut fleet = fleet(&["one", "two"]);
+    let key = fleet.key("one").expect("added");
+    assert!(fleet.record_leaving(key, at(100)));
+    assert!(!fleet.record_leaving(key, at(200)), "known already");
+    let criteria = Criteria { service: "lm", zone: "a", tried: &[] };
+    let assert_unused = |fleet: &Fleet, now: u64| {
+        let one = fleet.key("one").expect("present");
+        for _ in 0..20 {
+            assert_ne!(fleet.choose(criteria, at(now), &mut rand::rng()), Some(one));
+        }
+        assert_ne!(place(fleet, &REQUIREMENTS, now).as_deref(), Some("one"));
+    };
+    assert_unused(&fleet, 200);
+    assert_eq!(fleet.apply_entry(entry("one", "a")), Change::Unchanged);
+    assert_unused(&fleet, 300);
+    fleet.remove_entry("one", true, at(400));
+    fleet.apply_entry(entry("one", "a"));
+    assert_unused(&fleet, 500);
+    fleet.remove_entry("one", false, at(600));
+    fleet.apply_entry(entry("one", "a"));
+    assert_unused(&fleet, 700);
+
+    fleet.apply_entry(Entry { started_ms: Some(2), ..entry("one", "a") });
+    fleet.remove_entry("two", false, at(800));
+    assert_eq!(place(&fleet, &REQUIREMENTS, 900).as_deref(), Some("one"), "it has restarted");
+}
