Orders: the lease is released after the last call has ended

Same rule as the wait after a renewal: the next holder of the lease counts the time until its own orders from the release or the expiry. A stopping holder released the lease while calls were on their way for up to 1 s more, and an order that was sent just before the deadline of the lease had the same time, for example for a connection that is slow to open.

Change: calls belong to the task, which waits for them before the release; an order's time limit ends with the lease.

--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::mpsc,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -74,6 +75,8 @@
     service: String,
     planner: Planner,
     replies: (mpsc::UnboundedSender<Exchange>, mpsc::UnboundedReceiver<Exchange>),
+    /// Calls in progress, each for [`CALL_TIMEOUT`] at most.
+    calls: JoinSet<()>,
     dialect: std::marker::PhantomData<D>,
 }
 
@@ -86,6 +89,7 @@
             service,
             planner: Planner::default(),
             replies: mpsc::unbounded_channel(),
+            calls: JoinSet::new(),
             dialect: std::marker::PhantomData,
         }
     }
@@ -98,6 +102,7 @@
             while let Ok(exchange) = self.replies.1.try_recv() {
                 self.record_reply(&exchange);
             }
+            while self.calls.try_join_next().is_some() {}
             let now = self.shared.now();
             let may_order = grant.filter(|grant| grant.allows_orders(now, false));
             if may_order.is_none() && could_order {
@@ -114,6 +119,8 @@
                 _ = stopping.wait_for(|stopping| *stopping) => {}
             }
         }
+        // The next holder waits for the lifetime of an order from the release on.
+        while self.calls.join_next().await.is_some() {}
         self.lease.release().await;
     }
 
@@ -165,7 +172,7 @@
         }
     }
 
-    fn call(&self, action: Action, grant: Grant) {
+    fn call(&mut self, action: Action, grant: Grant) {
         let worker = match &action {
             Action::Query(worker) | Action::Order { worker, .. } => *worker,
         };
@@ -193,12 +200,18 @@
             }
         };
         let (shared, replies) = (self.shared.clone(), self.replies.0.clone());
-        tokio::spawn(async move {
-            // The lease may have expired since the call was planned.
-            let may_order = grant.allows_orders(shared.now(), false);
+        self.calls.spawn(async move {
+            let now = shared.now();
+            // The lease may have expired since the call was planned, and must not before it ends.
+            let may_order = grant.allows_orders(now, false);
+            let limit = match &line {
+                Some(_) => CALL_TIMEOUT.min(grant.deadline.since(now)),
+                None => CALL_TIMEOUT,
+            };
+            let exchange = call::<D>(&shared, (worker, entry.address), request, line.is_some());
             let reply = match &line {
                 Some(_) if !may_order => Reply::Refused,
-                _ => call::<D>(&shared, (worker, entry.address), request, line.is_some()).await,
+                _ => timeout(limit, exchange).await.unwrap_or(Reply::NoResponse),
             };
             if let Some(line) = line {
                 shared.metrics.count_order(reply.name());
@@ -253,9 +266,7 @@
         }
         Some((head.status.as_u16(), body))
     };
-    let Ok(Some((status, body))) = timeout(CALL_TIMEOUT, exchange).await else {
-        return Reply::NoResponse;
-    };
+    let Some((status, body)) = exchange.await else { return Reply::NoResponse };
     match (status, is_order) {
         (200, false) => match D::decode_report(&body) {
             Ok(report) => Reply::Report(report),
