Attempts: an answer to an earlier run of an item is not taken for this one

Cause: the pool sent the next run on the connection of the last one, where the identifier doesn't tell the two answers apart, and the first event of an output could have any number.

Change: a connection serves no two requests with the same identifier in succession, and the first event of a run is number 1 or the one after the last event received.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -137,7 +137,7 @@
     pub async fn run<D: Dialect>(&self, shared: &Shared, admitted: impl FnOnce()) -> Finish {
         let last_event = self.output.lock().partial.last_event;
         let Some(request) = self.request::<D>(last_event) else { return Finish::Invalid };
-        let terms = Terms::identified(true);
+        let terms = Terms::identified(true, self.id.as_bytes());
         let exchange = shared.pool.send(self.address, request, terms, shared.now());
         let (response, connection) = match timeout(self.head_timeout, exchange).await {
             Ok(Ok(answer)) => answer,
@@ -286,7 +286,7 @@
         let Some(id) = event.id else {
             return Err(Finish::Broken("event without an identifier".to_owned()));
         };
-        if partial.last_event.is_some_and(|last| last.checked_add(1) != Some(id)) {
+        if partial.last_event.unwrap_or(0).checked_add(1) != Some(id) {
             return Err(Finish::Broken(format!("event {id} out of order")));
         }
         if (partial.text.len() + event.data.len()) as u64 > self.output_limit {
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -90,7 +90,7 @@
         let Some(request) = self.request::<D>() else {
             return Finish::Broken("path is not a valid URI".to_owned());
         };
-        let terms = Terms::identified(true);
+        let terms = Terms::identified(true, self.call.id.as_bytes());
         let result = shared.pool.send(self.address, request, terms, shared.now()).await;
         let (response, connection) = match result {
             Ok(exchange) => exchange,
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 connections to workers, with one request at a time on each.
 //!
 //! A connection is reused only after a complete response with the identifier of its request. Any
-//! irregularity closes it, so that bytes of one response never reach another request. Responses
-//! without an identifier are matched by their order alone, see [`Matching`].
+//! irregularity closes it, so that bytes of one response never reach another request. A late copy of
+//! a response is told by its identifier or its content, or the connection is not used, see
+//! [`Matching`].
 
 use std::{
+    hash::{BuildHasher as _, BuildHasherDefault},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -12,7 +14,7 @@
 
 use derive_more::{Debug, Display, Error};
 use filbertsail_clock::Instant;
-use filbertsail_collections::HashMap;
+use filbertsail_collections::{HashMap, Hasher};
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
 use http::{Request, Response};
@@ -45,8 +47,10 @@
 /// A worker may send a second copy of a response late, when the connection is in use again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Matching {
-    /// Both carry an identifier, which the sender of the request compares.
-    Identifier,
+    /// Both carry an identifier, which the sender of the request compares. A request may be sent
+    /// again under its identifier, of which this is the hash, but never on the same connection: a
+    /// copy of the response to one run looks like the response to the next.
+    Identifier(u64),
     /// By order and content: the sender tells copies of other responses by their content, and a
     /// copy of the same kind does no harm.
     Content,
@@ -65,10 +69,11 @@
 }
 
 impl Terms {
-    /// Terms of a request with an identifier.
+    /// Terms of a request with the identifier `id`.
     #[must_use]
-    pub fn identified(idempotent: bool) -> Self {
-        Self { idempotent, matching: Matching::Identifier }
+    pub fn identified(idempotent: bool, id: &[u8]) -> Self {
+        let hash = BuildHasherDefault::<Hasher>::default().hash_one(id);
+        Self { idempotent, matching: Matching::Identifier(hash) }
     }
 }
 
@@ -194,7 +199,9 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         let is_ambiguous = |idle: &Idle| {
-            !self.is_trusted && [terms.matching, idle.matching] == [Matching::Order; 2]
+            !self.is_trusted
+                && terms.matching != Matching::Content
+                && terms.matching == idle.matching
         };
         while let Some(index) = connections.iter().rposition(|idle| !is_ambiguous(idle)) {
             let idle = connections.remove(index);
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -164,7 +164,7 @@
         return (failed(Verdict::NotRun, "request cannot be passed on"), End::Inconclusive);
     };
     let pool: &Pool = &shared.pool;
-    let terms = Terms::identified(idempotent);
+    let terms = Terms::identified(idempotent, job.id().as_bytes());
     let result = pool.send(entry.address, request, terms, shared.now()).await;
     let (response, channel) = match result {
         Ok(exchange) => exchange,
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -158,7 +158,7 @@
     let Some(request) = attempt::request::<D>(job, entry, time_left, last_event) else {
         return failed(Verdict::NotRun, "request cannot be passed on", End::Inconclusive);
     };
-    let terms = Terms::identified(false);
+    let terms = Terms::identified(false, job.id().as_bytes());
     let (response, channel) =
         match shared.pool.send(entry.address, request, terms, shared.now()).await {
             Ok(exchange) => exchange,
@@ -286,9 +286,11 @@
                     Ok(Some(event)) => {
                         let is_next = match (*last_event, event.id) {
                             (Some(last), Some(id)) => last.checked_add(1) == Some(id),
+                            // The numbers of a stream start at 1.
+                            (None, Some(id)) => id == 1 || !self.route.resumable,
                             // Without a number, its place in the stream is unknown.
                             (Some(_), None) => !self.route.resumable,
-                            _ => true,
+                            (None, None) => true,
                         };
                         if !is_next {
                             return StreamEnd::Broken("event ID out of sequence");
--- a/components/entry/tests/channel.rs
+++ b/components/entry/tests/channel.rs
@@ -57,6 +57,18 @@
         assert_eq!(exchange(&pool, address, path, Matching::Order).await, path);
     }
     // The sender compares identifiers, so the connections stay in use for such requests.
-    let copy = exchange(&pool, address, "/item", Matching::Identifier).await;
+    let copy = exchange(&pool, address, "/item", Matching::Identifier(1)).await;
     assert_ne!(copy, "/item", "no connection was reused");
 }
+
+/// Guards against a response to an earlier run of a request that is taken for that of its next run,
+/// since both have the same identifier.
+#[tokio::test]
+async fn can_tell_responses_to_two_runs_of_a_request() {
+    let (pool, address) = (Pool::default(), start().await);
+    for path in ["/run-1", "/run-2", "/run-3"] {
+        assert_eq!(exchange(&pool, address, path, Matching::Identifier(1)).await, path);
+    }
+    let copy = exchange(&pool, address, "/other", Matching::Identifier(2)).await;
+    assert_ne!(copy, "/other", "no connection was reused");
+}
