Batches: a complete batch is kept until its caller ends it

`Registry::expired_batches` treated complete batches like ended ones.

Change: only ended batches expire. The new test failed before: left ["ended", "complete"], right ["ended"].

--- a/components/entry/src/batch/takeover.rs
+++ b/components/entry/src/batch/takeover.rs
@@ -254,14 +254,16 @@
         others.into_iter().any(|(_, entry)| entry.meta.groups.contains(&group))
     }
 
-    /// Batches whose rows may be deleted: ended or complete, and accepted more than `retention_ms`
-    /// before `store_ms`, the clock of the store.
+    /// Batches whose rows may be deleted: ended by their callers, and accepted more than
+    /// `retention_ms` before `store_ms`, the clock of the store. A complete batch is kept while it is
+    /// open.
     #[must_use]
     pub fn expired_batches(&self, store_ms: u64, retention_ms: u64) -> Vec<(String, Meta, u64)> {
         self.batches
             .iter()
-            .filter(|(_, entry)| entry.meta.ended || entry.meta.complete)
-            .filter(|(_, entry)| store_ms > entry.meta.accepted_ms + retention_ms)
+            .filter(|(_, entry)| {
+                entry.meta.ended && store_ms > entry.meta.accepted_ms + retention_ms
+            })
             .map(|(batch, entry)| (batch.clone(), entry.meta.clone(), entry.row_version))
             .collect()
     }
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -229,3 +229,21 @@
         timeout(Duration::from_millis(200), takeover::read_observations(&store)).await;
     assert_eq!(observations, Ok(Vec::new()));
 }
+
+/// Guards against a batch that is deleted while its caller may still read it: results are kept until
+/// the batch is ended and its retention is over.
+#[test]
+fn can_keep_batches_until_they_are_ended() {
+    let mut registry = Registry::new(owner("vm-9", 9));
+    let complete = Meta { complete: true, ..meta(Some(owner("vm-9", 9))) };
+    registry.record_batch("open", meta(Some(owner("vm-9", 9))), 11, at(0));
+    registry.record_batch("complete", complete.clone(), 12, at(0));
+    registry.record_batch("ended", Meta { ended: true, ..complete }, 13, at(0));
+    let expired = |store_ms| {
+        let batches = registry.expired_batches(store_ms, 150_000);
+        batches.into_iter().map(|(batch, ..)| batch).collect::<Vec<_>>()
+    };
+    assert!(expired(150_000).is_empty());
+    assert_eq!(expired(150_001), ["ended"]);
+    assert_eq!(expired(10_000_000), ["ended"]);
+}
