Moves: a running item stays if its route has left the service

`plan::better_placement` looked for a quicker worker in the service of the present worker, not of the route, so after a route had moved to another service an item could start anew at a worker of the former one.

Change: the route decides; if it has left the service, the item runs on at its worker and is not moved. The new test failed with the check undone: left Some(..), right None.

Measured: the tests of plan pass.

--- a/components/entry/src/batch/plan.rs
+++ b/components/entry/src/batch/plan.rs
@@ -11,7 +11,7 @@
 
 use super::execution::{Execution, Phase};
 use crate::{
-    config::Engine,
+    config::{Engine, Route},
     fleet::{Fleet, Requirements, Worker},
 };
 
@@ -131,8 +131,9 @@
     Some(Placement { item, worker, tokens, priority })
 }
 
-/// Placement that finishes a running item sooner, and the gain in milliseconds; none if the item
-/// should stay.
+/// Placement that finishes a running item of `route` sooner, and the gain in milliseconds; none if
+/// the item should stay. It also stays if the route has left the service of its worker: it may run
+/// on there, but must not start there anew.
 ///
 /// Load pattern: a worker becomes slow, or workers that loaded weights at the start of a step
 /// become free a second later.
@@ -142,12 +143,15 @@
     execution: &Execution,
     item: usize,
     from: Key<Worker>,
+    (route, engine): (&Route, &Engine),
     zone: &str,
-    engine: &Engine,
     fleet: &Fleet,
     now: Instant,
 ) -> Option<(Placement, f64)> {
     let worker = fleet.get(from)?;
+    if !route.targets.iter().any(|target| target.service == worker.entry.service) {
+        return None;
+    }
     let remaining_events =
         remaining_tokens(execution, item) as f64 / execution.tokens_per_event.max(1) as f64;
     let current_interval_ms = fleet.expected_interval_ms(from, 0, now);
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -420,10 +420,13 @@
         if now.since(assignment.sent_at) < MIN_RUN_BEFORE_MOVE || assignment.successor.is_some() {
             return None;
         }
+        let path = &execution.submission.items[item].path;
+        let route = config.route(&execution.meta.host, path)?;
         let fleet = self.shared.fleet();
         let engine = engine(config, &fleet.get(assignment.worker)?.entry.service);
         let zone = &self.shared.identity.zone;
-        plan::better_placement(execution, item, assignment.worker, zone, &engine, &fleet, now)
+        let from = assignment.worker;
+        plan::better_placement(execution, item, from, (route, &engine), zone, &fleet, now)
     }
 
     /// Moves an item if that still saves time after the moves before it.
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -1,13 +1,13 @@
 //! Dispatch order, result flushing and item moves under the load of one training step.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use filbertsail_clock::Instant;
 use filbertsail_entry::{
     batch::{
         Item, Meta, Outcome, Owner, Record, Submission, Writer, execution::Execution, plan, rows,
     },
-    config::Engine,
+    config::{Engine, Kind, Route, Target},
     fleet::{End, Entry, Fleet},
 };
 use filbertsail_ports::store::Row;
@@ -141,6 +141,23 @@
     assert_eq!(&order(&execution)[..2], [0, 1]);
 }
 
+/// Route with `service` as its only target.
+fn route(service: &str) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Batch,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(1),
+        targets: vec![Target { service: service.to_owned(), weight: 1.0 }],
+        max_attempts: 3,
+        resumable: true,
+        max_queue: Duration::from_secs(60),
+        single_version: false,
+    }
+}
+
 /// Guards against long items that stay crowded on the workers that were free at the start of a
 /// step. Load: half of the workers load weights when a step begins and become free a second later.
 #[test]
@@ -154,8 +171,10 @@
     }
     let (one, two) = (fleet.key("one").expect("known"), fleet.key("two").expect("known"));
     let now = Instant::from_millis(1_000);
+    let route = route("lm");
     let better_worker = |fleet: &Fleet, execution: &Execution, item| {
-        let found = plan::better_placement(execution, item, one, "a", &engine, fleet, now);
+        let found =
+            plan::better_placement(execution, item, one, (&route, &engine), "a", fleet, now);
         found.map(|(placement, _)| placement.worker)
     };
     (0..8).for_each(|_| fleet.record_dispatch(one, 4_100, now));
@@ -207,3 +226,27 @@
     let gap: Vec<Row> = found.iter().filter(|row| !row.key.contains("/000001/")).cloned().collect();
     assert!(rows::decode_results(&gap, 0).is_err(), "a missing position is an error");
 }
+
+/// Guards against a running item that starts anew at a worker of the service that its route has
+/// left, because that finishes it sooner.
+#[test]
+fn can_keep_items_from_a_service_that_the_route_left() {
+    let mut execution = execution(&[4_000; 2], 1, "");
+    execution.tokens_per_event = 40;
+    let engine = Engine { slots: 8, kv_tokens: 100_000, tokens_per_event: 40, models: Vec::new() };
+    let mut fleet = Fleet::default();
+    for id in ["slow", "quick"] {
+        fleet.apply_entry(entry(id));
+    }
+    let (slow, quick) = (fleet.key("slow").expect("known"), fleet.key("quick").expect("known"));
+    let now = Instant::from_millis(1_000);
+    fleet.record_interval(slow, 400.0, now);
+    fleet.record_interval(quick, 40.0, now);
+    fleet.record_dispatch(slow, 4_100, now);
+    let target = |route: &Route| {
+        let found = plan::better_placement(&execution, 0, slow, (route, &engine), "a", &fleet, now);
+        found.map(|(placement, _)| placement.worker)
+    };
+    assert_eq!(target(&route("lm")), Some(quick));
+    assert_eq!(target(&route("other")), None);
+}
