Submissions: a batch that was ended before its commit is known does not run

Cause: if the answer to the commit of a submission is lost and the batch is ended at another VM before the commit is repeated, the conflict shows the submission's own row. `commit_meta` returned its version, and the batch started with the row as submitted, which was not ended. The registry doesn't help, since it knows the same version.

Change: the row in the conflict decides whether the batch still runs.

--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -216,7 +216,8 @@
         }
     }
 
-    /// Commits the owner's row; returns its version, or none if the batch was accepted before.
+    /// Commits the owner's row; returns its version, or none if the batch was accepted before and
+    /// runs elsewhere, or was ended.
     async fn commit_meta(
         &self,
         batch: &str,
@@ -232,10 +233,12 @@
                     let row = present.into_iter().find(|row| row.key == batch);
                     let meta =
                         row.as_ref().and_then(|row| rows::decode_meta(row.value.as_deref()?).ok());
-                    // Committed by this very call, whose reply was lost.
-                    let is_local =
-                        meta.is_some_and(|meta| meta.epoch == 1 && meta.writer == *writer);
-                    return Ok(row.filter(|_| is_local).map(|row| row.version));
+                    // Committed by this very call, whose reply was lost. Its caller may have ended
+                    // the batch since.
+                    let is_runnable = meta.is_some_and(|meta| {
+                        meta.epoch == 1 && meta.writer == *writer && !meta.ended
+                    });
+                    return Ok(row.filter(|_| is_runnable).map(|row| row.version));
                 }
                 Err(fault) => {
                     unknown |= matches!(fault, Fault::Unknown(_));
