Links: a connection is replaced after a call without a reply in time

`wire::link::client` kept a connection that had gone silent, so that every relayed call through that peer failed until the process restarted.

Change: `call_unary_within` takes the time limit and drops the connection on a timeout; calls in progress on it go on. Relayed store calls and the rounds' holder use it. The streams of `controller::gateways` still have no limit of their own.

--- a/components/entry/src/relay/mod.rs
+++ b/components/entry/src/relay/mod.rs
@@ -108,7 +108,7 @@
                 return refusal;
             }
             let exchange = tokio::select! {
-                exchange = timeout(limit, peer.call(call)) => exchange,
+                exchange = peer.call(call, limit) => exchange,
                 // The store answers again, which a peer that is cut off would hold up.
                 Ok(_) = unreachable_since.wait_for(Option::is_none) => {
                     let reason = "the store answers directly again".to_owned();
@@ -117,22 +117,18 @@
             };
             match exchange {
                 // The call had no effect: the store refuses this peer too, or refuses all VMs.
-                Ok(Ok(Answer::Unavailable(reason))) => {
+                Ok(Answer::Unavailable(reason)) => {
                     self.peers.record_failure(&peer, &reason, true, Boot.now());
                     refusal = Some(Answer::Unavailable(reason));
                     continue;
                 }
-                Ok(Ok(answer)) => {
+                Ok(answer) => {
                     self.peers.record_success(&peer);
                     return Some(answer);
                 }
-                Ok(Err(error)) => {
+                Err(error) => {
                     self.peers.record_failure(&peer, &error.to_string(), false, Boot.now());
                 }
-                Err(_) => {
-                    let reason = "peer did not answer in time";
-                    self.peers.record_failure(&peer, reason, false, Boot.now());
-                }
             }
             // A transaction that may have been committed is not sent through another peer.
             if is_transaction {
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -80,10 +80,11 @@
     /// Makes a store call through the peer.
     ///
     /// # Errors
-    /// Fails if the peer does not answer or its answer cannot be decoded.
-    pub async fn call(&self, call: &Call) -> Result<Answer, Error> {
+    /// Fails if the peer does not answer within `limit` or its answer cannot be decoded.
+    pub async fn call(&self, call: &Call, limit: Duration) -> Result<Answer, Error> {
         let call = rows::encode(call).to_vec();
-        let reply = self.client.call_unary(&Frame::Relay(frame::Relay { call })).await?;
+        let request = Frame::Relay(frame::Relay { call });
+        let reply = self.client.call_unary_within(&request, limit).await?;
         let Frame::Relayed(relayed) = reply else { return Err(Error::Unexpected) };
         rows::decode(&relayed.answer).map_err(|_| Error::Unexpected)
     }
--- a/components/rounds/src/holder/mod.rs
+++ b/components/rounds/src/holder/mod.rs
@@ -9,10 +9,7 @@
     frame::{Done, Fetch, Hello, Notice, Offer},
     link::{auth::Key, client},
 };
-use tokio::{
-    sync::Mutex,
-    time::{self, Instant},
-};
+use tokio::{sync::Mutex, time::Instant};
 
 use crate::row;
 
@@ -105,18 +102,18 @@
     async fn fetch(&self, fetch: Fetch) -> Option<Frame> {
         let link = self.link(&fetch.trainer).await?;
         let limit = Duration::from_millis(fetch.wait_ms) + FETCH_GRACE;
-        time::timeout(limit, link.call_unary(&fetch.into())).await.ok()?.ok()
+        link.call_unary_within(&fetch.into(), limit).await.ok()
     }
 
     async fn offer(&self, offer: Offer) -> bool {
         let Some(link) = self.link(&offer.trainer).await else { return false };
-        let answer = time::timeout(NOTICE_TIMEOUT, link.call_unary(&offer.into())).await;
-        matches!(answer, Ok(Ok(Frame::Done(Done))))
+        let answer = link.call_unary_within(&offer.into(), NOTICE_TIMEOUT).await;
+        matches!(answer, Ok(Frame::Done(Done)))
     }
 
     async fn notify(&self, notice: Notice) {
         let Some(link) = self.link(&notice.trainer).await else { return };
         // The holder also polls the rounds, so a lost notice only causes a delay.
-        let _ = time::timeout(NOTICE_TIMEOUT, link.call_unary(&notice.into())).await;
+        let _ = link.call_unary_within(&notice.into(), NOTICE_TIMEOUT).await;
     }
 }
--- a/components/wire/src/link/client.rs
+++ b/components/wire/src/link/client.rs
@@ -69,6 +69,30 @@
         self.call(request).await?.next().await?.ok_or(Error::Unexpected)
     }
 
+    /// Sends `request` and waits up to `limit` for the first reply. After a timeout, later calls use
+    /// a new connection: one may go silent without an error, which nothing else shows. Calls in
+    /// progress on the former one go on.
+    ///
+    /// # Errors
+    /// Fails like [`Client::call_unary`], or if there is no reply in time.
+    pub async fn call_unary_within(
+        &self,
+        request: &Frame,
+        limit: Duration,
+    ) -> Result<Frame, Error> {
+        match time::timeout(limit, self.call_unary(request)).await {
+            Ok(result) => result,
+            Err(_) => {
+                // While another call holds the lock, it is about to open a connection or to test
+                // the present one.
+                if let Ok(mut slot) = self.connection.try_lock() {
+                    *slot = None;
+                }
+                Err(Error::TimedOut)
+            }
+        }
+    }
+
     /// Sends an encoded request, reconnecting if needed. The lock keeps call numbers and streams in
     /// the same order.
     async fn send(&self, bytes: Bytes) -> Result<ResponseFuture, Error> {
--- a/components/wire/src/link/mod.rs
+++ b/components/wire/src/link/mod.rs
@@ -40,6 +40,10 @@
     #[display("unexpected or missing reply")]
     #[from(skip)]
     Unexpected,
+    /// There was no reply in time; the request may have been sent.
+    #[display("no reply in time")]
+    #[from(skip)]
+    TimedOut,
 }
 
 impl Error {
@@ -51,7 +55,9 @@
             Self::Broken(error) if error.reason() == Some(h2::Reason::REFUSED_STREAM) => {
                 Verdict::NotRun
             }
-            Self::Broken(_) | Self::Codec(_) | Self::Unexpected => Verdict::MayHaveRun,
+            Self::Broken(_) | Self::Codec(_) | Self::Unexpected | Self::TimedOut => {
+                Verdict::MayHaveRun
+            }
         }
     }
 }
--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -1,15 +1,22 @@
 //! Calls over real sockets, and their authentication.
 
+use std::time::Duration;
+
 use filbertsail_wire::{
     Frame,
     frame::{Done, Hello, Hint, Token},
     link::{
+        Error,
         auth::{Key, Refusal, Verifier, sign_call, sign_hello, verify_call},
         client::Client,
         server::{Handler, Sender, serve},
     },
 };
-use tokio::net::TcpListener;
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 use tokio_util::sync::CancellationToken;
 
 #[derive(Clone)]
@@ -119,3 +126,44 @@
         assert_eq!(reply.expect("reply"), Frame::Done(Done));
     }
 }
+
+/// Address of a proxy to `target`, and a switch that makes its present connections silent: they
+/// stay open and deliver nothing in either direction, while new ones work.
+async fn start_proxy(target: std::net::SocketAddr) -> (std::net::SocketAddr, watch::Sender<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("address");
+    let (silence, silent) = watch::channel(0);
+    tokio::spawn(async move {
+        for number in 1.. {
+            let (mut near, _) = listener.accept().await.expect("accepts");
+            let mut far = TcpStream::connect(target).await.expect("connects");
+            let mut silent = silent.clone();
+            tokio::spawn(async move {
+                let has_ended = tokio::select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => true,
+                    _ = silent.wait_for(|silent| *silent >= number) => false,
+                };
+                if !has_ended {
+                    std::future::pending::<()>().await;
+                }
+            });
+        }
+    });
+    (address, silence)
+}
+
+/// Guards against a connection that has gone silent and is used for good: every call through it
+/// fails until the process restarts.
+#[tokio::test]
+async fn can_replace_a_silent_connection() {
+    let (target, _stop) = start().await;
+    let (address, silence) = start_proxy(target).await;
+    let client = Client::new(address, &Key::new(vec![1; 32]), &hello()).expect("client");
+    let limit = Duration::from_millis(300);
+    let request = Hint { version: 0 }.into();
+    let call = || client.call_unary_within(&request, limit);
+    assert!(call().await.is_ok());
+    silence.send_replace(1);
+    assert!(matches!(call().await, Err(Error::TimedOut)));
+    assert!(call().await.is_ok(), "the silent connection is still in use");
+}
