Callers' bodies: one limit for all that are being handled

Change: the bodies of requests that are being handled share 16 MiB. The first 64 KiB of each are not counted, so that usual requests are never refused for a large one, and one large body always has room.

Falls short: a batch that runs stays in memory as a whole, and bodies larger than 16 MiB are taken one at a time, not streamed.

--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -3,7 +3,11 @@
 use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use filbertsail_http::{Body, body::read, server::Handler};
+use filbertsail_http::{
+    Body,
+    body::read::{self, ReadError},
+    server::Handler,
+};
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::{event::Line, metrics::CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -13,6 +17,7 @@
     batch::calls::Calls,
     config::{Config, Kind},
     dialect::{Call, Dialect},
+    foreign::RequestShare,
     forward::{self, Job, attempt::strip_hop_by_hop, reply},
     metrics::Metrics,
     shared::Shared,
@@ -21,6 +26,10 @@
 /// `Retry-After` while the configuration is not known yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` while there is no room for the body of a request. Another VM may have room, and a
+/// large batch is stored within a second.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Handler of the callers' port.
@@ -64,7 +73,8 @@
             }
             return not_found(&host, path, &config);
         };
-        let body = match self.read_body(body, &config).await {
+        let mut share = shared.requests.share();
+        let body = match self.read_body(body, &mut share, &config).await {
             Ok(body) => body,
             Err(response) => return response,
         };
@@ -90,11 +100,19 @@
         response
     }
 
-    async fn read_body(&self, body: Incoming, config: &Config) -> Result<Bytes, Response<Body>> {
+    async fn read_body(
+        &self,
+        body: Incoming,
+        share: &mut RequestShare,
+        config: &Config,
+    ) -> Result<Bytes, Response<Body>> {
         let limits = super::port_limits(&config.limits);
-        read::read(body, &limits).await.map_err(|error| {
+        read::read_with(body, &limits, |bytes| share.grow(bytes)).await.map_err(|error| {
             Line::new("body_refused").with("reason", &error).info();
-            let mut response = reply::json(error.status(), &error.to_string());
+            let mut response = match error {
+                ReadError::NoRoom => reply::refuse(&error.to_string(), NO_ROOM_RETRY_AFTER),
+                _ => reply::json(error.status(), &error.to_string()),
+            };
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             response
         })
--- a/components/entry/src/foreign/mod.rs
+++ b/components/entry/src/foreign/mod.rs
@@ -1,8 +1,9 @@
-//! Bodies of workers' responses, read within limits.
+//! Memory for the bodies of workers' responses and callers' requests.
 //!
 //! A worker may send bytes without end on each of hundreds of connections, and the smallest VM has
 //! less than 100 MB of memory. One response therefore has a limit, and all responses that are being
-//! read share another one.
+//! read share another one. Requests have a limit in the configuration, and those that are being
+//! handled share one of their own, so that callers never make a worker's response fail.
 
 use std::sync::{
     Arc,
@@ -19,6 +20,13 @@
 /// Largest sum of the bodies that are being read.
 pub const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
 
+/// Size up to which the body of a request is not counted, so that large ones never keep out usual
+/// requests. The number of connections bounds their memory.
+pub const SMALL_REQUEST_BYTES: usize = 64 * 1024;
+/// Largest sum of the bodies of requests that are being handled. A batch takes three times its size
+/// until it is stored.
+pub const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("{}", self.reason())]
@@ -77,6 +85,48 @@
     }
 }
 
+/// Bytes of all requests that are being handled, cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Requests(Arc<AtomicUsize>);
+
+impl Requests {
+    /// Share of a request that has no bytes yet.
+    #[must_use]
+    pub fn share(&self) -> RequestShare {
+        RequestShare { requests: self.clone(), bytes: 0, counted_bytes: 0 }
+    }
+}
+
+/// Bytes of one request, returned on drop.
+#[derive(Debug)]
+pub struct RequestShare {
+    requests: Requests,
+    bytes: usize,
+    /// Bytes beyond [`SMALL_REQUEST_BYTES`], which count.
+    counted_bytes: usize,
+}
+
+impl RequestShare {
+    /// Adds bytes to the request; returns whether there is room for them. There always is for a
+    /// small request, and for a large one if it is the only one.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let more = self.bytes.saturating_sub(SMALL_REQUEST_BYTES) - self.counted_bytes;
+        if more == 0 {
+            return true;
+        }
+        self.counted_bytes += more;
+        let total = self.requests.0.fetch_add(more, Ordering::Relaxed) + more;
+        total <= MAX_REQUEST_BYTES || total == self.counted_bytes
+    }
+}
+
+impl Drop for RequestShare {
+    fn drop(&mut self) {
+        self.requests.0.fetch_sub(self.counted_bytes, Ordering::Relaxed);
+    }
+}
+
 /// Share of one body, returned on drop.
 struct Share<'a> {
     budget: &'a Budget,
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -15,7 +15,7 @@
     config::Config,
     dialect::Answer,
     fleet::{Fleet, Worker},
-    foreign::Budget,
+    foreign::{Budget, Requests},
     metrics::Metrics,
 };
 
@@ -94,6 +94,8 @@
     pub pool: Pool,
     /// Bodies of workers' responses that are being read.
     pub foreign: Budget,
+    /// Bodies of requests that are being handled.
+    pub requests: Requests,
     /// Active configuration.
     pub config: Arc<watch::Sender<Option<Arc<Config>>>>,
     /// Newest weight version of each model.
@@ -123,6 +125,7 @@
             times,
             pool: Pool::default(),
             foreign: Budget::default(),
+            requests: Requests::default(),
             config: Arc::new(watch::channel(None).0),
             newest_versions: Arc::new(watch::channel(HashMap::default()).0),
             version_lags: Arc::new(watch::channel(HashMap::default()).0),
