Items: failures are counted across owners

The count of an item's failures lived in memory, so that each new owner gave it `max_attempts` more.

Change: the count is stored in the extension of the item's output, saved with the outputs four times a second and at a handover, and read at a takeover. Rows without it count as none, and earlier programs ignore it.

Falls short: failures of the last 0.25 s before a kill are lost, and those of reward calls are counted anew by each owner.

--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -107,7 +107,7 @@
 pub struct State {
     pub phase: Phase,
     pub output: Output,
-    /// Failures reported by workers.
+    /// Failures reported by workers, to earlier owners too.
     pub failures: u32,
     /// Worker of the last failed attempt.
     pub avoid: Option<Key<Worker>>,
@@ -120,6 +120,8 @@
     /// Events of the output that are saved in the store. The end of an output that waits for its
     /// score counts as one.
     pub saved_events: u32,
+    /// Failures that are saved in the store.
+    pub saved_failures: u32,
 }
 
 /// Transaction in progress that appends results. If its outcome is unknown, it is repeated
@@ -197,6 +199,7 @@
             if let Some(&index) = indexes.get(&partial.id) {
                 let state = &mut states[index];
                 state.saved_events = partial.saved_events();
+                (state.failures, state.saved_failures) = (partial.failures, partial.failures);
                 if partial.is_complete {
                     state.phase = Phase::Scoring(Scoring::new(accepted_at));
                 }
@@ -387,6 +390,7 @@
             stalls: 0,
             stalled_after: 0,
             saved_events: 0,
+            saved_failures: 0,
         }
     }
 }
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -89,10 +89,14 @@
     pub text: String,
     /// Weight versions that generated the events.
     pub versions: Vec<u64>,
-    /// Whether the output is complete and only its score is missing; stored as the last byte, see
-    /// [`rows`].
+    /// Whether the output is complete and only its score is missing; stored after the other fields,
+    /// see [`rows`].
     #[serde(skip)]
     pub is_complete: bool,
+    /// Failures of the item that workers have reported, to whatever owner; stored after the other
+    /// fields, see [`rows`].
+    #[serde(skip)]
+    pub failures: u32,
 }
 
 impl Partial {
--- a/components/entry/src/batch/rows.rs
+++ b/components/entry/src/batch/rows.rs
@@ -13,8 +13,8 @@
 //! is fixed, so that a new VM reads all owners' rows in a few calls. The heartbeats are in
 //! `batches` too, so that one feed delivers both.
 //!
-//! Owners' rows, submissions with reward calls and outputs of items that wait for their score have
-//! an extension after the value. Without one the bytes are those of earlier versions, which ignore
+//! Owners' rows, submissions with reward calls, and outputs of items that wait for their score or
+//! have failed have an extension after the value. Without one the bytes are those of earlier versions, which ignore
 //! an extension.
 
 use std::hash::{Hash, Hasher};
@@ -287,7 +287,8 @@
 /// Encodes the output of an unfinished item.
 #[must_use]
 pub fn encode_partial(partial: &Partial) -> Bytes {
-    encode_extended(partial, partial.is_complete.then_some(&true))
+    let extension = (partial.is_complete, partial.failures);
+    encode_extended(partial, (extension != (false, 0)).then_some(&extension))
 }
 
 /// Decodes the output of an unfinished item.
@@ -296,7 +297,10 @@
 /// Fails if the bytes are not such an output.
 pub fn decode_partial(bytes: &[u8]) -> Result<Partial, DecodeError> {
     let (partial, is_complete) = decode_extended(bytes)?;
-    Ok(Partial { is_complete, ..partial })
+    // Rows of earlier versions have no failures.
+    let failures =
+        decode_extended::<Partial, (bool, u32)>(bytes).map_or(0, |(_, (_, count))| count);
+    Ok(Partial { is_complete, failures, ..partial })
 }
 
 fn encode_extended<T: Serialize, E: Serialize>(value: &T, extension: Option<&E>) -> Bytes {
--- a/components/entry/src/batch/task/handover.rs
+++ b/components/entry/src/batch/task/handover.rs
@@ -98,9 +98,11 @@
     let mut bytes = 0;
     for (item, state) in execution.states.iter().enumerate() {
         let mut partial = std::mem::take(&mut state.output.lock().partial);
-        if matches!(state.phase, Phase::Ended) || partial.events == 0 {
+        let has_progress = partial.events > 0 || state.failures > 0;
+        if matches!(state.phase, Phase::Ended) || !has_progress {
             continue;
         }
+        partial.failures = state.failures;
         partial.id.clone_from(&execution.submission.items[item].id);
         let value = rows::encode_partial(&partial);
         // A longer output does not fit into a row; its item restarts from the beginning.
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -103,8 +103,8 @@
     /// A transaction with partial outputs finished.
     PartialsSaved {
         execution: Handle<Execution>,
-        /// Indexes of the saved items with the number of saved events; empty on failure.
-        items: Vec<(usize, u32)>,
+        /// Saved items; empty on failure.
+        items: Vec<results::Saved>,
     },
     /// Hands all batches over to other VMs and replies when done.
     HandOver(oneshot::Sender<()>),
--- a/components/entry/src/batch/task/results.rs
+++ b/components/entry/src/batch/task/results.rs
@@ -180,21 +180,27 @@
         }
     }
 
-    pub(super) fn partials_saved(&mut self, key: Handle<Execution>, items: &[(usize, u32)]) {
+    pub(super) fn partials_saved(&mut self, key: Handle<Execution>, items: &[Saved]) {
         let Some(execution) = self.executions.get_mut(key) else { return };
         execution.is_saving = false;
-        for &(item, events) in items {
-            execution.states[item].saved_events = events;
+        for saved in items {
+            let state = &mut execution.states[saved.item];
+            (state.saved_events, state.saved_failures) = (saved.events, saved.failures);
         }
     }
 }
 
-/// Outputs with enough new events to be saved, as many as fit into one transaction.
-fn unsaved_partials(
-    batch: &str,
-    execution: &Execution,
-    now: Instant,
-) -> (Vec<(usize, u32)>, Transaction) {
+/// Item whose output was saved.
+#[derive(Clone, Copy, Debug)]
+pub struct Saved {
+    /// Index of the item.
+    item: usize,
+    events: u32,
+    failures: u32,
+}
+
+/// Outputs with enough new events or a new failure, as many as fit into one transaction.
+fn unsaved_partials(batch: &str, execution: &Execution, now: Instant) -> (Vec<Saved>, Transaction) {
     let (mut items, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
     for (item, state) in execution.states.iter().enumerate() {
         if matches!(state.phase, Phase::Ended) {
@@ -211,15 +217,17 @@
             }
             _ => partial.events >= state.saved_events + SAVE_INTERVAL_EVENTS,
         };
+        let is_due = is_due || state.failures > state.saved_failures;
         if is_full || !is_due {
             continue;
         }
         let id = execution.submission.items[item].id.clone();
-        let value = rows::encode_partial(&Partial { id, ..partial.clone() });
+        let failures = state.failures;
+        let value = rows::encode_partial(&Partial { id, failures, ..partial.clone() });
         // A longer output does not fit into a row; the last saved one stays.
         if value.len() <= MAX_VALUE_BYTES {
             bytes += value.len();
-            items.push((item, partial.saved_events()));
+            items.push(Saved { item, events: partial.saved_events(), failures });
             writes.push((rows::partial_key(batch, item), value));
         }
     }
@@ -260,7 +268,10 @@
     ];
     // The saved output of a finished item is no longer needed.
     let saved = append.results.iter().filter_map(|record| execution.index_of(&record.id));
-    let saved = saved.filter(|item| execution.states[*item].saved_events > 0);
+    let saved = saved.filter(|item| {
+        let state = &execution.states[*item];
+        state.saved_events > 0 || state.saved_failures > 0
+    });
     let room = MAX_ENTRIES.saturating_sub(checks.len() + writes.len());
     let deletes = saved.take(room).map(|item| rows::partial_key(batch, item)).collect();
     Some(Transaction { checks, writes, deletes })
--- a/components/entry/tests/rewards.rs
+++ b/components/entry/tests/rewards.rs
@@ -208,6 +208,7 @@
         text: "x".to_owned(),
         versions: vec![1],
         is_complete,
+        failures: 0,
     };
     let execution = execution(4, 2, 0, vec![partial("i0", true), partial("i1", false)]);
     assert!(matches!(execution.states[0].phase, Phase::Scoring(_)));
@@ -249,6 +250,7 @@
         text: "x\ny".to_owned(),
         versions: vec![1],
         is_complete: false,
+        failures: 0,
     };
     let record = Record {
         id: "a".to_owned(),
@@ -273,6 +275,12 @@
     scored.items[0].reward = Some(call("c"));
     let bytes = rows::encode_submission(&scored);
     assert_eq!(rows::decode_submission(&[row(&bytes)], &meta), Ok(scored));
-    let complete = Partial { is_complete: true, ..partial };
-    assert_eq!(rows::decode_partial(&rows::encode_partial(&complete)), Ok(complete));
+    let complete = Partial { is_complete: true, ..partial.clone() };
+    let complete_bytes = [partial_bytes, b"\x01"].concat();
+    assert_eq!(rows::decode_partial(&complete_bytes), Ok(complete.clone()), "without failures");
+    for partial in [complete.clone(), Partial { failures: 300, ..complete }] {
+        assert_eq!(rows::decode_partial(&rows::encode_partial(&partial)), Ok(partial));
+    }
+    let failed = Partial { failures: 2, ..partial };
+    assert_eq!(rows::decode_partial(&rows::encode_partial(&failed)), Ok(failed));
 }
