--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -242,7 +242,7 @@
     /// Whether `config` may decide about the routes of the batch. An older configuration than the
     /// one under which the batch was accepted may lack them, or have others in their place.
     #[must_use]
-    pub fn has_routes_in(&self, config: &Config) -> bool {
+    pub fn accepts_config(&self, config: &Config) -> bool {
         config.version >= self.meta.config_version
     }
 
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -210,7 +210,7 @@
         let (keys, executions): (Vec<Handle<Execution>>, Vec<&Execution>) = self
             .executions
             .iter()
-            .filter(|(_, execution)| execution.has_routes_in(&config))
+            .filter(|(_, execution)| execution.accepts_config(&config))
             .unzip();
         let order = plan::dispatch_order(&executions, now);
         // Full services are not tried again in this round.
@@ -361,7 +361,7 @@
         let Some(config) = self.shared.config() else { return };
         let mut fleet = self.shared.fleet();
         for (_, execution) in self.executions.iter_mut() {
-            if !execution.has_routes_in(&config) {
+            if !execution.accepts_config(&config) {
                 continue;
             }
             for item in 0..execution.states.len() {
@@ -394,7 +394,7 @@
         let Some(config) = self.shared.config() else { return };
         let mut moves: Vec<(f64, Handle<Execution>, usize)> = Vec::new();
         for (key, execution) in self.executions.iter() {
-            if !execution.has_routes_in(&config) {
+            if !execution.accepts_config(&config) {
                 continue;
             }
             for item in 0..execution.states.len() {
--- a/components/entry/src/batch/task/rewards.rs
+++ b/components/entry/src/batch/task/rewards.rs
@@ -38,7 +38,7 @@
         let (keys, executions): (Vec<Handle<Execution>>, Vec<&Execution>) = self
             .executions
             .iter()
-            .filter(|(_, execution)| execution.has_routes_in(&config))
+            .filter(|(_, execution)| execution.accepts_config(&config))
             .unzip();
         let order = plan::call_order(&executions, |execution, item| {
             let Phase::Scoring(scoring) = &execution.states[item].phase else { return false };
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -184,7 +184,8 @@
 }
 
 impl Leaver {
-    fn is(&self, entry: &Entry) -> bool {
+    /// Whether it is the worker of `entry`, and not a later one under its identifier.
+    fn matches(&self, entry: &Entry) -> bool {
         (&self.id, self.started_ms, self.address) == (&entry.id, entry.started_ms, entry.address)
     }
 }
@@ -298,7 +299,7 @@
     }
 
     fn add(&mut self, mut entry: Entry) {
-        let is_leaving = self.leavers.iter().any(|leaver| leaver.is(&entry));
+        let is_leaving = self.leavers.iter().any(|leaver| leaver.matches(&entry));
         entry.draining |= is_leaving;
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.workers.insert(Worker {
