--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,10 +5,10 @@
 
 mod client;
 mod frozen_owner;
-mod gone_caller;
 mod gone_worker;
 mod http;
 mod json;
+mod large_batches;
 mod large_item;
 mod record;
 mod silent_channels;
@@ -49,10 +49,10 @@
     let folder = env::temp_dir().join(format!("review-2-{case}-{}", std::process::id()));
     fs::create_dir_all(&folder)?;
     let outcome = match case {
+        "large-batches" => large_batches::run(&folder, trouble, &record),
         "large-item" => large_item::run(&folder, trouble, &record),
         "gone-worker" => gone_worker::run(&folder, trouble, &record),
         "frozen-owner" => frozen_owner::run(&folder, trouble, &record),
-        "gone-caller" => gone_caller::run(&folder, trouble, &record),
         "silent-channels" => silent_channels::run(&folder, trouble, &record),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/stand-2/vm.rs
+++ b/review/stand-2/vm.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     io,
     net::{SocketAddr, TcpListener},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -16,10 +16,11 @@
 const PROGRAM: &str = "target/release/filbertsail-entry";
 
 pub struct Vm {
-    name: String,
+    pub name: String,
     pub front: SocketAddr,
     pub readiness: SocketAddr,
     child: Child,
+    settings: PathBuf,
     record: Record,
 }
 
@@ -66,6 +67,7 @@
             front: address(front),
             readiness: address(readiness),
             child,
+            settings,
             record: record.clone(),
         })
     }
@@ -83,6 +85,32 @@
             .spawn()
     }
 
+    /// Number of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = Self::spawn(&self.settings)?;
+        self.record.line(&format!(
+            "machine {} starts again, process {}",
+            self.name,
+            self.child.id()
+        ));
+        Ok(())
+    }
+
     pub fn is_ready(&self) -> bool {
         let limit = Duration::from_millis(500);
         http::call(
@@ -117,7 +145,6 @@
 
 impl Drop for Vm {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -34,7 +34,6 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
-    pub worker: String,
     pub arrived: Instant,
     pub began: Option<Instant>,
     pub ended: Option<Instant>,
@@ -246,10 +245,8 @@
                 ];
                 return stream.respond(503, &headers, b"");
             }
-            let worker = self.id.clone();
             let run = Run {
                 id: id.clone(),
-                worker,
                 arrived: Instant::now(),
                 began: None,
                 ended: None,
