Drop two review cases that earlier ones show, renumber the others

The LOST case after one kill shows the fault of case 10, and the DRAIN case after a freeze that of case 9. The cases 12, 13 and 14 become 11, 12 and 13; the stand-ins lose what only the dropped cases used.

--- a/review/stand-3/batch.rs
+++ b/review/stand-3/batch.rs
@@ -67,10 +67,5 @@
 
 /// Identifier of an item.
 pub fn item_id(batch: &str, number: usize) -> String {
-    format!("{}{number:08x}", item_prefix(batch))
-}
-
-/// Beginning of the identifiers of all items of a batch.
-pub fn item_prefix(batch: &str) -> String {
-    batch[..8].to_owned()
+    format!("{}{number:08x}", &batch[..8])
 }
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -11,10 +11,8 @@
 mod channels;
 mod http;
 mod json;
-mod lapsed;
 mod record;
 mod store;
-mod takeover;
 mod vm;
 mod worker;
 
@@ -163,8 +161,6 @@
         "abandoned" => abandoned::run,
         "bodies" => bodies::run,
         "channels" => channels::run,
-        "lapsed" => lapsed::run,
-        "takeover" => takeover::run,
         _ => {
             eprintln!("unknown case {case}");
             process::exit(2);
--- a/review/stand-3/record.rs
+++ b/review/stand-3/record.rs
@@ -45,8 +45,4 @@
         let events = self.events.lock().unwrap();
         events.iter().filter(|event| event.what == what).cloned().collect()
     }
-
-    pub fn elapsed(&self) -> Duration {
-        self.started.elapsed()
-    }
 }
--- a/review/stand-3/vm.rs
+++ b/review/stand-3/vm.rs
@@ -49,8 +49,6 @@
     memory_mb: u64,
     child: Mutex<Option<Child>>,
     is_removed: AtomicBool,
-    /// Whether the next look at the process kills it.
-    is_killed: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -80,7 +78,6 @@
             memory_mb,
             child: Mutex::new(None),
             is_removed: AtomicBool::new(false),
-            is_killed: AtomicBool::new(false),
             record: Arc::clone(record),
         });
         let settings = settings(&vm, ip, peers, store);
@@ -128,21 +125,6 @@
         self.kill();
     }
 
-    /// Kills the process; the platform starts it again.
-    pub fn kill_once(&self) {
-        self.record.add("process killed", &self.name, "");
-        self.is_killed.store(true, Ordering::SeqCst);
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &'static str) -> io::Result<()> {
-        let id = self.child.lock().unwrap().as_ref().map(Child::id);
-        let id = id.ok_or_else(|| io::Error::other("the process does not run"))?;
-        self.record.add("signal", &self.name, name);
-        let status = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status()?;
-        if status.success() { Ok(()) } else { Err(io::Error::other("no signal was sent")) }
-    }
-
     fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
             // It may have ended already.
@@ -173,12 +155,11 @@
                     None => continue,
                 };
                 let memory_mb = vm.memory_mb().unwrap_or(0);
-                if has_ended || memory_mb > vm.memory_mb {
-                    let detail = format!("{memory_mb} MB of {} MB", vm.memory_mb);
-                    vm.record.add("process ended", &vm.name, &detail);
-                } else if !vm.is_killed.swap(false, Ordering::SeqCst) {
+                if !has_ended && memory_mb <= vm.memory_mb {
                     continue;
                 }
+                let detail = format!("{memory_mb} MB of {} MB", vm.memory_mb);
+                vm.record.add("process ended", &vm.name, &detail);
                 vm.kill();
                 sleep(RESTART_DELAY);
                 if !vm.is_removed.load(Ordering::SeqCst) && vm.launch().is_err() {
--- a/review/stand-3/worker.rs
+++ b/review/stand-3/worker.rs
@@ -60,8 +60,6 @@
     slots: usize,
     taken: Mutex<Taken>,
     has_crashed: AtomicBool,
-    /// Whether it has left the registry and serves on.
-    has_left: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     started_ms: u64,
     sequence: AtomicU64,
@@ -88,7 +86,6 @@
             slots,
             taken: Mutex::default(),
             has_crashed: AtomicBool::new(false),
-            has_left: AtomicBool::new(false),
             connections: Mutex::default(),
             started_ms: since.as_millis() as u64,
             sequence: AtomicU64::new(0),
@@ -98,9 +95,6 @@
         let (beating, store) = (Arc::clone(&worker), Arc::clone(store));
         thread::spawn(move || {
             while !beating.has_crashed.load(Ordering::SeqCst) {
-                if beating.has_left.load(Ordering::SeqCst) {
-                    return;
-                }
                 store.put("servers", &beating.id, &beating.entry());
                 sleep(HEARTBEAT);
             }
@@ -123,13 +117,6 @@
         }
     }
 
-    /// Leaves without a report: the entry is removed, and the worker serves on.
-    pub fn leave_silently(&self, store: &Store) {
-        self.has_left.store(true, Ordering::SeqCst);
-        store.remove("servers", &self.id);
-        self.record.add("entry removed", &self.id, "");
-    }
-
     fn entry(&self) -> Json {
         let models = object([("name", "lm".into()), ("version", 1.into())]);
         object([
@@ -241,8 +228,6 @@
             let event = format!("id: {number}\ndata: {id}-{number}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
-        stream.write_all(b"0\r\n\r\n")?;
-        self.record.add("finished", id, &self.id);
-        Ok(())
+        stream.write_all(b"0\r\n\r\n")
     }
 }
