Batches: items go past one that waits for memory, with one engine reserved for it

Cause: an item that found no engine marked its service as full, and all items behind it in the round were skipped. The first one is the longest, so one long item kept back all shorter ones.

An item without an engine now blocks only items that cannot fit either (Fleet::room). So that short items that arrive all the time do not keep the long one waiting for good, the first item without an engine reserves the engine that is expected to have room first, and others use that engine only if they end before.

Evidence: can_send_short_items_past_one_that_waits_for_memory fails before this change (order b-0, b-3, b-1, ...: the second long item is sent before short ones that had room), passes now.

--- a/components/entry/src/batch/evacuation.rs
+++ b/components/entry/src/batch/evacuation.rs
@@ -129,6 +129,8 @@
     if !route.targets.iter().any(|target| target.service == *service) {
         return None;
     }
-    let placement = plan::place_item(execution, item, service, zone, engine, fleet, now)?;
+    // A running item goes before those that wait for an engine.
+    let scope = plan::Scope { service, zone, engine, reservations: &[] };
+    let placement = plan::place_item(execution, item, &scope, fleet, now)?;
     (placement.worker != from).then_some(placement)
 }
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -6,6 +6,7 @@
 //! Any VM serves reads of any batch, from memory or from the store.
 
 pub mod attempt;
+pub mod backfill;
 pub mod calls;
 pub mod evacuation;
 pub mod execution;
--- a/components/entry/src/batch/plan.rs
+++ b/components/entry/src/batch/plan.rs
@@ -12,7 +12,7 @@
 use super::execution::{Execution, Phase};
 use crate::{
     config::{Engine, Route},
-    fleet::{Fleet, Requirements, Worker},
+    fleet::{Fleet, Requirements, Reservation, Worker},
 };
 
 /// Priority at the worker of items that the trainer waits for; the worker's default is 5.
@@ -36,6 +36,17 @@
     pub priority: u8,
 }
 
+/// Engines among which a worker is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    pub service: &'a str,
+    /// Availability zone of this VM.
+    pub zone: &'a str,
+    pub engine: &'a Engine,
+    /// Engines that are kept for other items.
+    pub reservations: &'a [Reservation],
+}
+
 /// Waiting items as pairs of execution index and item index, most urgent first.
 #[must_use]
 pub fn dispatch_order(executions: &[&Execution], now: Instant) -> Vec<(usize, usize)> {
@@ -97,43 +108,64 @@
     remaining.min(submitted.max_tokens.saturating_sub(produced).max(1))
 }
 
-/// Chooses a worker for an item; none if all are full.
+/// Expected remaining events.
 #[must_use]
-pub fn place_item(
-    execution: &Execution,
-    item: usize,
-    service: &str,
-    zone: &str,
-    engine: &Engine,
-    fleet: &Fleet,
-    now: Instant,
-) -> Option<Placement> {
+#[expect(clippy::cast_precision_loss)]
+pub fn remaining_events(execution: &Execution, item: usize) -> f64 {
+    remaining_tokens(execution, item) as f64 / execution.tokens_per_event.max(1) as f64
+}
+
+/// Expected tokens of prompt and output in the worker's memory.
+#[must_use]
+pub fn expected_size(execution: &Execution, item: usize) -> u64 {
     let submitted = &execution.submission.items[item];
-    let group = submitted.group as usize;
-    let tokens = submitted.prompt_tokens + submitted.expected_tokens.min(submitted.max_tokens);
-    let wanted = execution.wanted_groups[group];
+    submitted.prompt_tokens + submitted.expected_tokens.min(submitted.max_tokens)
+}
+
+/// Requirements and preferences of an item.
+#[must_use]
+pub fn requirements<'a>(
+    execution: &'a Execution,
+    item: usize,
+    scope: &Scope<'a>,
+) -> Requirements<'a> {
+    let group = execution.submission.items[item].group as usize;
     let is_critical = is_critical(execution, item);
-    let requirements = Requirements {
-        service,
-        zone,
+    Requirements {
+        service: scope.service,
+        zone: scope.zone,
         model: &execution.submission.model,
         min_version: execution.submission.min_version,
-        tokens,
+        tokens: expected_size(execution, item),
         group: execution.prompt_workers[group],
         avoid: execution.states[item].avoid,
         allow_slow: !is_critical,
         is_critical,
-    };
-    let worker = fleet.place(&requirements, engine.kv_tokens, now).or_else(|| {
+        events: remaining_events(execution, item),
+        reservations: scope.reservations,
+    }
+}
+
+/// Chooses a worker for an item; none if all are full.
+#[must_use]
+pub fn place_item(
+    execution: &Execution,
+    item: usize,
+    scope: &Scope<'_>,
+    fleet: &Fleet,
+    now: Instant,
+) -> Option<Placement> {
+    let requirements = requirements(execution, item, scope);
+    let kv_tokens = scope.engine.kv_tokens;
+    let worker = fleet.place(&requirements, kv_tokens, now).or_else(|| {
         // A slow worker, or the one that failed last, is better than none.
-        fleet.place(
-            &Requirements { allow_slow: true, avoid: None, ..requirements },
-            engine.kv_tokens,
-            now,
-        )
+        let requirements = Requirements { allow_slow: true, avoid: None, ..requirements };
+        fleet.place(&requirements, kv_tokens, now)
     })?;
-    let priority = if wanted || is_critical { WANTED_ITEM_PRIORITY } else { OTHER_ITEM_PRIORITY };
-    Some(Placement { item, worker, tokens, priority })
+    let group = execution.submission.items[item].group as usize;
+    let is_first = execution.wanted_groups[group] || requirements.is_critical;
+    let priority = if is_first { WANTED_ITEM_PRIORITY } else { OTHER_ITEM_PRIORITY };
+    Some(Placement { item, worker, tokens: requirements.tokens, priority })
 }
 
 /// Placement that finishes a running item of `route` sooner, and the gain in milliseconds; none if
@@ -143,30 +175,27 @@
 /// Load pattern: a worker becomes slow, or workers that loaded weights at the start of a step
 /// become free a second later.
 #[must_use]
-#[expect(clippy::cast_precision_loss)]
 pub fn better_placement(
     execution: &Execution,
     item: usize,
     from: Key<Worker>,
-    (route, engine): (&Route, &Engine),
-    zone: &str,
+    route: &Route,
+    scope: &Scope<'_>,
     fleet: &Fleet,
     now: Instant,
 ) -> Option<(Placement, f64)> {
-    let worker = fleet.get(from)?;
-    if !route.targets.iter().any(|target| target.service == worker.entry.service) {
+    if !route.targets.iter().any(|target| target.service == scope.service) {
         return None;
     }
-    let remaining_events =
-        remaining_tokens(execution, item) as f64 / execution.tokens_per_event.max(1) as f64;
+    let remaining_events = remaining_events(execution, item);
     let current_interval_ms = fleet.expected_interval_ms(from, 0, now);
     // No target is faster than an idle worker.
-    if remaining_events * (current_interval_ms - fleet.typical_interval_ms(&worker.entry.service))
+    if remaining_events * (current_interval_ms - fleet.typical_interval_ms(scope.service))
         < MIN_MOVE_GAIN_MS
     {
         return None;
     }
-    let placement = place_item(execution, item, &worker.entry.service, zone, engine, fleet, now)?;
+    let placement = place_item(execution, item, scope, fleet, now)?;
     let gain_ms = remaining_events
         * (current_interval_ms - fleet.expected_interval_ms(placement.worker, 1, now));
     (placement.worker != from && gain_ms >= MIN_MOVE_GAIN_MS).then_some((placement, gain_ms))
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -15,8 +15,9 @@
     batch::{
         Outcome,
         attempt::{self, Attempt, Finish, RESPONSE_HEAD_TIMEOUT, SUCCESSOR_HEAD_TIMEOUT},
+        backfill::{self, Shortage},
         execution::{Assignment, Execution, Phase},
-        plan,
+        plan::{self, Scope},
     },
     config::{Config, Route},
     dialect::Dialect,
@@ -219,11 +220,11 @@
             .filter(|(_, execution)| execution.accepts_config(&config))
             .unzip();
         let order = plan::dispatch_order(&executions, now);
-        // Full services are not tried again in this round.
-        let mut full_services: Vec<(String, String, u64)> = Vec::new();
+        let mut shortage = Shortage::default();
         for (index, item) in order {
-            self.place_item(keys[index], item, &config, &mut full_services, now);
+            self.place_item(keys[index], item, &config, &mut shortage, now);
         }
+        self.reservations = shortage.reservations().to_vec();
     }
 
     pub(super) fn place_item(
@@ -231,7 +232,7 @@
         key: Handle<Execution>,
         item: usize,
         config: &Config,
-        full_services: &mut Vec<(String, String, u64)>,
+        shortage: &mut Shortage,
         now: Instant,
     ) {
         let Some(execution) = self.executions.get_mut(key) else { return };
@@ -245,27 +246,43 @@
             return execution.finish_item(item, Outcome::Dead, now);
         };
         let Some(service) = route.service(&mut rand::rng()) else { return };
-        let min_version = execution.submission.min_version;
-        // Another model may have room, since engines load versions of one model at a time.
-        let model = &execution.submission.model;
-        let is_full = |(name, of_model, version): &(String, String, u64)| {
-            name == service && of_model == model && *version == min_version
-        };
-        if full_services.iter().any(is_full) {
+        if !shortage.allows(execution, item, service) {
             return;
         }
         let engine = engine(config, service);
         execution.tokens_per_event = engine.tokens_per_event;
-        let zone = &self.shared.identity.zone;
+        let scope = Scope {
+            service,
+            zone: &self.shared.identity.zone,
+            engine: &engine,
+            reservations: shortage.reservations(),
+        };
         let placement = {
             let fleet = self.shared.fleet();
-            plan::place_item(execution, item, service, zone, &engine, &fleet, now)
+            plan::place_item(execution, item, &scope, &fleet, now)
         };
-        match placement {
-            Some(placement) => self.start_item(key, &placement, route, now),
-            None => {
-                let model = execution.submission.model.clone();
-                full_services.push((service.to_owned(), model, min_version));
+        if let Some(placement) = placement {
+            return self.start_item(key, &placement, route, now);
+        }
+        let Some(execution) = self.executions.get(key) else { return };
+        let fleet = self.shared.fleet();
+        let executions = || self.executions.iter().map(|(_, execution)| execution);
+        let runs = || backfill::runs(executions(), &fleet, now);
+        let zone = &self.shared.identity.zone;
+        let scope = Scope { service, zone, engine: &engine, reservations: &[] };
+        let reservation = shortage.record(execution, item, &scope, &fleet, runs, now);
+        if let Some(reservation) = reservation {
+            let known = self.reservations.iter().map(|it| it.worker).collect::<Vec<_>>();
+            if !known.contains(&reservation.worker) {
+                let worker = fleet.get(reservation.worker);
+                Line::new("engine_reserved")
+                    .with("item", &execution.submission.items[item].id)
+                    .with("batch", &execution.batch)
+                    .with("worker", worker.map_or("", |worker| worker.entry.id.as_str()))
+                    .with("tokens", plan::expected_size(execution, item))
+                    .with("taken_tokens", worker.map_or(0, |worker| worker.reserved_tokens))
+                    .with("due_ms", reservation.due.since(now).as_millis())
+                    .info();
             }
         }
     }
@@ -435,10 +452,15 @@
         }
         let route = execution.route(item, config)?;
         let fleet = self.shared.fleet();
-        let engine = engine(config, &fleet.get(assignment.worker)?.entry.service);
-        let zone = &self.shared.identity.zone;
         let from = assignment.worker;
-        plan::better_placement(execution, item, from, (route, &engine), zone, &fleet, now)
+        let service = &fleet.get(from)?.entry.service;
+        let scope = Scope {
+            service,
+            zone: &self.shared.identity.zone,
+            engine: &engine(config, service),
+            reservations: &self.reservations,
+        };
+        plan::better_placement(execution, item, from, route, &scope, &fleet, now)
     }
 
     /// Moves an item if that still saves time after the moves before it.
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -33,6 +33,7 @@
 use crate::{
     config::{Config, Engine},
     dialect::Dialect,
+    fleet::Reservation,
     follow::{self, Update},
     relay::Peers,
     shared::Shared,
@@ -130,6 +131,8 @@
     call_paces: HashMap<String, reward::Pace>,
     /// Workers that are about to leave.
     departures: Departures,
+    /// Engines reserved in the last round of dispatch.
+    reservations: Vec<Reservation>,
     heartbeat_at: Option<Instant>,
     /// Whether a batch has started since the last dispatch of items. The heartbeat follows the
     /// dispatch, so that the observations beside it count the items of the new step. Other owners
@@ -167,6 +170,7 @@
         last_attempt: 0,
         call_paces: HashMap::default(),
         departures: Departures::default(),
+        reservations: Vec::new(),
         heartbeat_at: None,
         must_announce: false,
         ticked_at: Instant::default(),
--- a/components/entry/src/fleet/item.rs
+++ b/components/entry/src/fleet/item.rs
@@ -7,7 +7,7 @@
 use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
 
-use super::{Fleet, Worker};
+use super::{Fleet, Reservation, Worker};
 
 /// Share of the memory that is planned for items; the rest is a reserve, since lengths are
 /// estimates.
@@ -54,6 +54,10 @@
     pub allow_slow: bool,
     /// Whether it is one of the longest items, which determine the duration of the step.
     pub is_critical: bool,
+    /// Events that it is expected to generate.
+    pub events: f64,
+    /// Engines that are kept for other items.
+    pub reservations: &'a [Reservation],
 }
 
 impl Fleet {
@@ -70,11 +74,11 @@
         let typical = self.typical_interval_ms(requirements.service);
         let mut best: Option<(f64, Key<Worker>)> = None;
         for (key, worker) in self.workers_of(requirements.service) {
-            if !has_room(worker, requirements, kv_tokens, now) || Some(key) == requirements.avoid {
-                continue;
-            }
-            let version = worker.version(requirements.model);
-            if layout.is_some_and(|it| it.awaits_load(requirements.model, key, version, now)) {
+            if requirements.tokens > free_tokens(worker, kv_tokens)
+                || !self.has_slot(key, worker, requirements, now)
+                || Some(key) == requirements.avoid
+                || self.is_kept_from(key, requirements, now)
+            {
                 continue;
             }
             let interval = relative_interval(worker, typical);
@@ -103,6 +107,34 @@
         }
         best.map(|(_, key)| key)
     }
+
+    /// Whether a worker may get an item now, as far as its memory allows.
+    pub(super) fn has_slot(
+        &self,
+        key: Key<Worker>,
+        worker: &Worker,
+        requirements: &Requirements<'_>,
+        now: Instant,
+    ) -> bool {
+        worker.is_usable(now)
+            && worker.load(now) < worker.slots(now)
+            && self.has_version(key, worker, requirements, now)
+    }
+
+    /// Whether a worker has an allowed weight version and is not about to load a newer one.
+    pub(super) fn has_version(
+        &self,
+        key: Key<Worker>,
+        worker: &Worker,
+        requirements: &Requirements<'_>,
+        now: Instant,
+    ) -> bool {
+        let model = requirements.model;
+        let version = worker.version(model);
+        let layout = self.services.get(requirements.service).map(|service| &service.layout);
+        version.is_some_and(|version| version >= requirements.min_version)
+            && !layout.is_some_and(|it| it.awaits_load(model, key, version, now))
+    }
 }
 
 /// Event interval relative to the typical one; 1 for workers that are about as fast or not
@@ -113,19 +145,17 @@
     if ratio <= EQUAL_SPEED_RATIO { 1.0 } else { ratio }
 }
 
+/// Tokens of the memory that are planned for items.
 #[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn has_room(
-    worker: &Worker,
-    requirements: &Requirements<'_>,
-    kv_tokens: u64,
-    now: Instant,
-) -> bool {
-    let memory = (kv_tokens as f64 * PLANNED_MEMORY_SHARE) as u64;
-    worker.is_usable(now)
-        && worker
-            .version(requirements.model)
-            .is_some_and(|version| version >= requirements.min_version)
-        && worker.load(now) < worker.slots(now)
-        && (worker.in_flight == 0
-            || worker.reserved_tokens.saturating_add(requirements.tokens) <= memory)
+pub(super) fn planned_tokens(kv_tokens: u64) -> u64 {
+    (kv_tokens as f64 * PLANNED_MEMORY_SHARE) as u64
+}
+
+/// Size in tokens of the largest item that the memory of a worker has room for. An idle worker gets
+/// an item of any size, since lengths are estimates.
+pub(super) fn free_tokens(worker: &Worker, kv_tokens: u64) -> u64 {
+    if worker.in_flight == 0 {
+        return u64::MAX;
+    }
+    planned_tokens(kv_tokens).saturating_sub(worker.reserved_tokens)
 }
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! Workers come from the registry in the store. What their responses show (load, weight version,
 //! speed, failures) is kept until the worker restarts or is removed.
 
+mod backfill;
 mod item;
 mod ramp;
 mod request;
@@ -19,6 +20,7 @@
     pace::Pace,
 };
 
+pub use backfill::{Reservation, Room, Run};
 pub use item::Requirements;
 pub use ramp::Transition;
 pub use request::Criteria;
--- a/components/entry/tests/engines.rs
+++ b/components/entry/tests/engines.rs
@@ -311,6 +311,8 @@
                 avoid: None,
                 allow_slow: true,
                 is_critical: state.events * 10 >= longest * 4,
+                events: state.events as f64,
+                reservations: &[],
             };
             let Some(key) = owner.fleet.place(&requirements, 64_381, at(now)) else { continue };
             let id = owner.fleet.get(key).map(|worker| worker.entry.id.clone()).expect("known");
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -49,6 +49,8 @@
     avoid: None,
     allow_slow: false,
     is_critical: true,
+    events: 20.0,
+    reservations: &[],
 };
 
 fn place(fleet: &Fleet, requirements: &Requirements<'_>, now: u64) -> Option<String> {
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -5,7 +5,10 @@
 use filbertsail_clock::Instant;
 use filbertsail_entry::{
     batch::{
-        Item, Meta, Outcome, Owner, Record, Submission, Writer, execution::Execution, plan, rows,
+        Item, Meta, Outcome, Owner, Record, Submission, Writer,
+        execution::Execution,
+        plan::{self, Scope},
+        rows,
     },
     config::{Engine, Kind, Route, Target},
     fleet::{End, Entry, Fleet},
@@ -180,9 +183,9 @@
     let (one, two) = (fleet.key("one").expect("known"), fleet.key("two").expect("known"));
     let now = Instant::from_millis(1_000);
     let route = route("lm");
+    let scope = Scope { service: "lm", zone: "a", engine: &engine, reservations: &[] };
     let better_worker = |fleet: &Fleet, execution: &Execution, item| {
-        let found =
-            plan::better_placement(execution, item, one, (&route, &engine), "a", fleet, now);
+        let found = plan::better_placement(execution, item, one, &route, &scope, fleet, now);
         found.map(|(placement, _)| placement.worker)
     };
     (0..8).for_each(|_| fleet.record_dispatch(one, 4_100, now));
@@ -251,8 +254,9 @@
     fleet.record_interval(slow, 400.0, now);
     fleet.record_interval(quick, 40.0, now);
     fleet.record_dispatch(slow, 4_100, now);
+    let scope = Scope { service: "lm", zone: "a", engine: &engine, reservations: &[] };
     let target = |route: &Route| {
-        let found = plan::better_placement(&execution, 0, slow, (route, &engine), "a", &fleet, now);
+        let found = plan::better_placement(&execution, 0, slow, route, &scope, &fleet, now);
         found.map(|(placement, _)| placement.worker)
     };
     assert_eq!(target(&route("lm")), Some(quick));
