Batches: an item above an engine's memory pauses itself, not the engine

A batch with one item whose prompt and output exceed an engine's memory got nothing else done: with one engine none of its 49 other items ran in 30 s.

Cause: the engine refuses such an item as if it were full, the refusal paused the engine for all items, and the item was due again at once, first in the order since it is the longest.

A refusal of an item whose largest size exceeds the configured memory now leaves the engine alone and delays the item by 0.4 s, doubling to 6.4 s.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -19,7 +19,7 @@
     channel::Terms,
     dialect::{Answer, Dialect, Dispatch},
     event::{Event, Parser},
-    fleet::Worker,
+    fleet::{End, Worker},
     shared::Shared,
 };
 
@@ -95,6 +95,18 @@
             Self::Oversized => "oversized",
         }
     }
+
+    /// What the end of an attempt means for the health of its worker. An engine refuses an item
+    /// that exceeds its memory (`fits` is false) as if it were full, and has room for others.
+    #[must_use]
+    pub fn worker_end(&self, fits: bool) -> End {
+        match self {
+            Self::Done => End::Success,
+            Self::Refused(pause) if fits => End::Refused { pause: *pause },
+            Self::Broken(_) | Self::Stalled | Self::Oversized => End::Failure,
+            Self::Refused(_) | Self::Failed | Self::Invalid | Self::Stale => End::Inconclusive,
+        }
+    }
 }
 
 /// Parameters of an attempt.
--- a/components/entry/src/batch/execution.rs
+++ b/components/entry/src/batch/execution.rs
@@ -24,6 +24,12 @@
 /// at once; one that has just been given a single result comes back half a second later, and ends
 /// the step half a second after that.
 const TAIL_FLUSH_DELAY: Duration = Duration::from_secs(2);
+/// First delay of an item that exceeds the memory of the engine that refused it; it doubles with
+/// each refusal. An engine may have more memory than its service is configured with, so it is tried
+/// now and then.
+const MIN_REFUSAL_DELAY: Duration = Duration::from_millis(400);
+/// Limit of the doublings of that delay.
+const MAX_REFUSAL_DOUBLINGS: u32 = 4;
 /// Share of the wanted items that are unfinished in the tail of a step.
 const TAIL_SHARE: f64 = 0.1;
 /// Number of waiting results that triggers a flush without further delay.
@@ -117,6 +123,8 @@
     pub stalls: u32,
     /// Number of events at the last stall.
     stalled_after: u32,
+    /// Refusals because it exceeds the memory of an engine.
+    refusals: u32,
     /// Events of the output that are saved in the store. The end of an output that waits for its
     /// score counts as one.
     pub saved_events: u32,
@@ -403,6 +411,7 @@
             attempts: 0,
             stalls: 0,
             stalled_after: 0,
+            refusals: 0,
             saved_events: 0,
             saved_failures: 0,
         }
@@ -416,4 +425,12 @@
         self.stalls = if events == self.stalled_after { self.stalls + 1 } else { 1 };
         self.stalled_after = events;
     }
+
+    /// Records that an engine refused it because it exceeds the memory; returns the delay before
+    /// the next attempt.
+    pub fn record_refusal(&mut self) -> Duration {
+        let delay = MIN_REFUSAL_DELAY * 2_u32.pow(self.refusals.min(MAX_REFUSAL_DOUBLINGS));
+        self.refusals = self.refusals.saturating_add(1);
+        delay
+    }
 }
--- a/components/entry/src/batch/mod.rs
+++ b/components/entry/src/batch/mod.rs
@@ -39,6 +39,14 @@
     pub reward: Option<reward::Call>,
 }
 
+impl Item {
+    /// Largest number of tokens of prompt and output together.
+    #[must_use]
+    pub fn largest_size(&self) -> u64 {
+        self.prompt_tokens.saturating_add(self.max_tokens)
+    }
+}
+
 /// Batch as submitted by a caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -57,10 +57,14 @@
         let (worker, tokens, since) = (assignment.worker, assignment.tokens, assignment.sent_at);
         let submitted = &execution.submission.items[item];
         let max_attempts = route.map_or(1, |route| route.max_attempts);
-        let name = {
+        let (name, service) = {
             let fleet = self.shared.fleet();
-            fleet.get(worker).map(|worker| worker.entry.id.clone()).unwrap_or_default()
+            let entry = fleet.get(worker).map(|worker| &worker.entry);
+            entry.map(|it| (it.id.clone(), it.service.clone())).unwrap_or_default()
         };
+        let fits = config
+            .as_ref()
+            .is_none_or(|config| submitted.largest_size() <= engine(config, &service).kv_tokens);
         let mut line = Line::new("item_run_ended")
             .with("item", &submitted.id)
             .with("batch", &execution.batch)
@@ -74,7 +78,7 @@
         self.shared.fleet().record_completion(
             worker,
             tokens,
-            worker_end(&finish),
+            finish.worker_end(fits),
             now,
             rand::rng().random(),
         );
@@ -101,7 +105,12 @@
                     state.phase = Phase::Waiting(now.after(ITEM_RETRY_DELAY));
                 }
             }
-            Finish::Refused(_) => line.with("outcome", "refused").info(),
+            Finish::Refused(_) => {
+                line.with("outcome", "refused").with("fits", fits).info();
+                if !fits {
+                    state.phase = Phase::Waiting(now.after(state.record_refusal()));
+                }
+            }
             Finish::Stale => {
                 line.with("outcome", "stale").warn();
                 // With `single_version`, output of an older version cannot be continued.
@@ -166,7 +175,7 @@
         // The head timeout of a successor is too short to tell a busy worker from a dead one.
         let end = match finish {
             Finish::Broken(_) | Finish::Stalled => End::Refused { pause: MOVE_RETRY_DELAY },
-            finish => worker_end(finish),
+            finish => finish.worker_end(true),
         };
         assignment.pause.send_replace(false);
         state.avoid = Some(successor.worker);
@@ -510,13 +519,3 @@
         assignment.successor = successor.map(Box::new);
     }
 }
-
-/// What the end of an attempt means for the health of its worker.
-fn worker_end(finish: &Finish) -> End {
-    match finish {
-        Finish::Done => End::Success,
-        Finish::Refused(pause) => End::Refused { pause: *pause },
-        Finish::Broken(_) | Finish::Stalled | Finish::Oversized => End::Failure,
-        Finish::Failed | Finish::Invalid | Finish::Stale => End::Inconclusive,
-    }
-}
