Connections: silent ones are replaced together, and workers are not blamed for them

Cause, one of two: idle connections were kept after one of them gave no response, so that all items went out on silent ones, waited 3.5 s for a response head and counted as failures of sound engines, whose circuit breakers opened.

An idempotent request without a response head after 1.2 s on a reused connection is sent again on a new one, and the connections that were idle as long are closed. Each time-out of a request closes them, also for reports, streams, reward calls and the store. A plain request without an answer on a connection that was idle for 0.5 s or more says nothing about its worker.

Evidence: connection_replaced and idle_ms tell silent connections from silent engines.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -152,11 +152,15 @@
         let last_event = self.output.lock().partial.last_event;
         let Some(request) = self.request::<D>(last_event) else { return Finish::Invalid };
         let terms = Terms::identified(true, self.id.as_bytes());
-        let exchange = shared.pool.send(self.address, request, terms, shared.now());
+        let sent_at = shared.now();
+        let exchange = shared.pool.send_with_fallback(self.address, request, terms, sent_at);
         let (response, connection) = match timeout(self.head_timeout, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(fault)) => return Finish::Broken(fault.reason),
-            Err(_) => return Finish::Broken("response head timed out".to_owned()),
+            Err(_) => {
+                shared.pool.close_idle_since(self.address, sent_at);
+                return Finish::Broken("response head timed out".to_owned());
+            }
         };
         let answer = D::decode_answer(response.headers());
         if let Some(finish) = self.check_head(response.status(), &answer, shared) {
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -80,9 +80,13 @@
 impl Attempt {
     /// Sends the call and reads the response.
     pub async fn run<D: Dialect>(self, shared: &Shared) -> Finish {
+        let sent_at = shared.now();
         match timeout(self.limit, self.exchange::<D>(shared)).await {
             Ok(finish) => finish,
-            Err(_) => Finish::Broken("no complete response before the timeout".to_owned()),
+            Err(_) => {
+                shared.pool.close_idle_since(self.address, sent_at);
+                Finish::Broken("no complete response before the timeout".to_owned())
+            }
         }
     }
 
@@ -91,7 +95,8 @@
             return Finish::Broken("path is not a valid URI".to_owned());
         };
         let terms = Terms::identified(true, self.call.id.as_bytes());
-        let result = shared.pool.send(self.address, request, terms, shared.now()).await;
+        let sent = shared.pool.send_with_fallback(self.address, request, terms, shared.now());
+        let result = sent.await;
         let (response, connection) = match result {
             Ok(exchange) => exchange,
             Err(fault) => return Finish::Broken(fault.to_string()),
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -17,6 +17,7 @@
 use filbertsail_collections::{HashMap, Hasher};
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
+use filbertsail_telemetry::event::Line;
 use http::{Request, Response};
 use hyper::{
     body::Incoming,
@@ -39,6 +40,10 @@
 /// Idle connections kept per worker.
 const MAX_IDLE_PER_WORKER: usize = 32;
 
+/// Time without a response head after which a request on a reused connection is sent again on a new
+/// one. Workers answer within tens of milliseconds, and within a second while they load weights.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+
 /// Time after which the kernel stops retransmitting bytes of a request that must not arrive late. Two
 /// retransmissions fit into it; the calls themselves end after one second.
 const RETRANSMISSION_LIMIT_MS: u32 = 500;
@@ -82,6 +87,22 @@
     }
 }
 
+/// What is known of an exchange, also after it was cancelled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// Time for which its connection had been idle; absent for a new one.
+    pub idle: Option<Duration>,
+}
+
+impl Trace {
+    /// Whether the connection may have failed while it was idle, so that a missing response says
+    /// nothing about the worker.
+    #[must_use]
+    pub fn was_idle(&self) -> bool {
+        self.idle.is_some_and(|idle| idle >= MAX_IDLE_FOR_NON_IDEMPOTENT)
+    }
+}
+
 /// Failure of a request.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{verdict}: {reason}")]
@@ -188,6 +209,33 @@
         terms: Terms,
         now: Instant,
         deadline: Option<Instant>,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        self.exchange(address, request, terms, now, deadline, &mut Trace::default()).await
+    }
+
+    /// Like [`Pool::send`], and records the connection in `trace`.
+    ///
+    /// # Errors
+    /// The verdict of the fault states whether the request may have run.
+    pub async fn send_traced(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        terms: Terms,
+        now: Instant,
+        trace: &mut Trace,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        self.exchange(address, request, terms, now, None, trace).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        terms: Terms,
+        now: Instant,
+        deadline: Option<Instant>,
+        trace: &mut Trace,
     ) -> Result<(Response<Incoming>, Channel), Fault> {
         let matching = terms.matching;
         let check_deadline = || match deadline {
@@ -195,7 +243,10 @@
             _ => Ok(()),
         };
         let mut link = match self.take(address, terms, now) {
-            Some(link) => link,
+            Some((link, idle)) => {
+                trace.idle = Some(idle);
+                link
+            }
             None => self.connect(address).await?,
         };
         check_deadline()?;
@@ -204,6 +255,7 @@
             Err(mut error) => match error.take_message() {
                 // The connection was already closed, and the request has not been written.
                 Some(request) => {
+                    trace.idle = None;
                     let mut link = self.connect(address).await?;
                     check_deadline()?;
                     let sent = link.sender.send_request(request).await;
@@ -215,6 +267,56 @@
         }
     }
 
+    /// Like [`Pool::send`], for an idempotent request with a whole body. If a reused connection
+    /// breaks or stays silent, the request is sent again on a new one, and other connections that
+    /// were idle meanwhile are closed: connections may go silent without an error, several at a
+    /// time, and the worker is sound.
+    ///
+    /// # Errors
+    /// Returns the fault of the new connection.
+    pub async fn send_with_fallback(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        terms: Terms,
+        now: Instant,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        let matching = terms.matching;
+        let Some(copy) = copy(&request) else {
+            return self.send(address, request, terms, now).await;
+        };
+        let Some((mut link, idle)) = self.take(address, terms, now) else {
+            return self.send_on_new(address, request, matching).await;
+        };
+        let sent = timeout(SILENCE_LIMIT, link.sender.try_send_request(request)).await;
+        let reason = match sent {
+            Ok(Ok(response)) => return Ok((response, Channel { link, address, matching })),
+            Ok(Err(error)) => error.into_error().to_string(),
+            Err(_) => "no response".to_owned(),
+        };
+        drop(link);
+        let closed = self.close_idle_since(address, now);
+        Line::new("connection_replaced")
+            .with("address", address)
+            .with("reason", reason)
+            .with("idle_ms", idle.as_millis())
+            .with("others_closed", closed)
+            .warn();
+        self.send_on_new(address, copy, matching).await
+    }
+
+    async fn send_on_new(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        matching: Matching,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        let mut link = self.connect(address).await?;
+        let sent = link.sender.send_request(request).await;
+        let response = sent.map_err(Fault::may_have_run)?;
+        Ok((response, Channel { link, address, matching }))
+    }
+
     /// Keeps the connection for reuse.
     pub fn keep(&self, channel: Channel, keep_alive: Option<Duration>, now: Instant) {
         let lifetime = keep_alive.unwrap_or(IDLE_TIMEOUT).saturating_sub(IDLE_TIMEOUT_MARGIN);
@@ -248,7 +350,18 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
-    fn take(&self, address: SocketAddr, terms: Terms, now: Instant) -> Option<Link> {
+    /// Closes the connections to an address that have been idle since before `sent_at`, when a
+    /// request was sent that got no response; returns their number. They may be silent as well, and
+    /// each would cost another request its time.
+    pub fn close_idle_since(&self, address: SocketAddr, sent_at: Instant) -> usize {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(connections) = idle.get_mut(&address) else { return 0 };
+        let before = connections.len();
+        connections.retain(|idle| idle.since > sent_at);
+        before - connections.len()
+    }
+
+    fn take(&self, address: SocketAddr, terms: Terms, now: Instant) -> Option<(Link, Duration)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         let is_ambiguous = |idle: &Idle| {
@@ -260,7 +373,7 @@
             let idle = connections.remove(index);
             let is_fresh = terms.idempotent || now.since(idle.since) < MAX_IDLE_FOR_NON_IDEMPOTENT;
             if now < idle.expires_at && is_fresh && idle.link.sender.is_ready() {
-                return Some(idle.link);
+                return Some((idle.link, now.since(idle.since)));
             }
         }
         None
@@ -292,3 +405,13 @@
         Ok(Link { sender, _reset: reset })
     }
 }
+
+/// Copy of a request whose body has not been sent; nothing if the body is a stream.
+fn copy(request: &Request<Body>) -> Option<Request<Body>> {
+    let Body::Full(bytes) = request.body() else { return None };
+    let mut copy = Request::new(Body::Full(bytes.clone()));
+    *copy.method_mut() = request.method().clone();
+    *copy.uri_mut() = request.uri().clone();
+    *copy.headers_mut() = request.headers().clone();
+    Some(copy)
+}
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::Job;
 use crate::{
-    channel::{Channel, Pool, Terms},
+    channel::{Channel, Pool, Terms, Trace},
     dialect::{Answer, Dialect, Dispatch},
     fleet::{End, Entry, Worker},
     foreign::Fault,
@@ -92,12 +92,13 @@
     Some(request)
 }
 
-/// Sends the request to `worker` and waits up to `limit` for the complete response.
+/// Sends the request to `worker` and waits up to `limit` for the complete response. With
+/// `reuses_idle`, it may go out on a connection that has been idle for longer.
 pub(super) async fn run<D: Dialect>(
     shared: &Shared,
     worker: Key<Worker>,
     job: &Job,
-    idempotent: bool,
+    reuses_idle: bool,
     limit: Duration,
     time_left: Duration,
 ) -> Finish {
@@ -105,11 +106,17 @@
     let Some((entry, mut guard)) = Guard::start(shared, worker) else {
         return failed(Verdict::NotRun, "worker gone");
     };
-    let exchange = exchange::<D>(shared, (worker, &entry), job, idempotent, time_left);
+    let mut trace = Trace::default();
+    let exchange = exchange::<D>(shared, (worker, &entry), job, reuses_idle, time_left, &mut trace);
     let (finish, end) = match timeout(limit, exchange).await {
         Ok(done) => done,
-        Err(_) => (failed(Verdict::MayHaveRun, "no answer in time"), End::Failure),
+        Err(_) => {
+            shared.pool.close_idle_since(entry.address, now);
+            (failed(Verdict::MayHaveRun, "no answer in time"), End::Failure)
+        }
     };
+    let is_unproven = matches!(finish, Finish::Failed { .. }) && trace.was_idle();
+    let end = if end == End::Failure && is_unproven { End::Inconclusive } else { end };
     let took = shared.now().since(now);
     guard.end = if end == End::Success { End::Answered { took } } else { end };
     drop(guard);
@@ -129,6 +136,7 @@
         .with("reason", reason)
         .with("limit_ms", limit.as_millis())
         .with("took_ms", took.as_millis())
+        .with_some("idle_ms", trace.idle.map(|idle| idle.as_millis()))
         .info();
     finish
 }
@@ -172,15 +180,16 @@
     shared: &Shared,
     (worker, entry): (Key<Worker>, &Entry),
     job: &Job,
-    idempotent: bool,
+    reuses_idle: bool,
     time_left: Duration,
+    trace: &mut Trace,
 ) -> (Finish, End) {
     let Some(request) = request::<D>(job, entry, time_left, None, None) else {
         return (failed(Verdict::NotRun, "request cannot be passed on"), End::Inconclusive);
     };
     let pool: &Pool = &shared.pool;
-    let terms = Terms::identified(idempotent, job.id().as_bytes());
-    let result = pool.send(entry.address, request, terms, shared.now()).await;
+    let terms = Terms::identified(reuses_idle, job.id().as_bytes());
+    let result = pool.send_traced(entry.address, request, terms, shared.now(), trace).await;
     let (response, channel) = match result {
         Ok(exchange) => exchange,
         Err(fault) => {
--- a/components/entry/src/forward/mod.rs
+++ b/components/entry/src/forward/mod.rs
@@ -123,7 +123,9 @@
         tried.push(worker);
         let may_retry = idempotent && attempt < route.max_attempts;
         let limit = attempt_limit(route, time_left, may_retry);
-        let result = attempt::run::<D>(shared, worker, &job, idempotent, limit, time_left).await;
+        // Connections that were idle together may have gone silent together.
+        let reuses_idle = idempotent && verdict != Verdict::MayHaveRun;
+        let result = attempt::run::<D>(shared, worker, &job, reuses_idle, limit, time_left).await;
         match result {
             attempt::Finish::Success(response) => return response,
             attempt::Finish::Error(response) => {
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -135,7 +135,10 @@
                 return Ok(Upstream { head, body, channel, answer, guard });
             }
             Ok(Err(failure)) => failure,
-            Err(_) => (Unopened::new(Verdict::MayHaveRun, "no answer in time"), End::Failure),
+            Err(_) => {
+                shared.pool.close_idle_since(entry.address, now);
+                (Unopened::new(Verdict::MayHaveRun, "no answer in time"), End::Failure)
+            }
         };
         let mut guard = guard;
         guard.end = end;
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -223,7 +223,10 @@
             let exchange = call::<D>(&shared, (worker, entry.address), request, line.is_some());
             let reply = match &line {
                 Some(_) if !may_order => Reply::Refused,
-                _ => timeout(limit, exchange).await.unwrap_or(Reply::NoResponse),
+                _ => timeout(limit, exchange).await.unwrap_or_else(|_| {
+                    shared.pool.close_idle_since(entry.address, now);
+                    Reply::NoResponse
+                }),
             };
             if let Some(line) = line {
                 shared.metrics.count_order(reply.name());
--- a/components/entry/tests/channel.rs
+++ b/components/entry/tests/channel.rs
@@ -1,9 +1,16 @@
-//! Connections to workers that repeat responses late.
+//! Connections to workers that repeat responses late or go silent.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use filbertsail_clock::{Boot, Instant, Source};
-use filbertsail_entry::channel::{Matching, Pool, Terms};
+use filbertsail_entry::channel::{Matching, Pool, Terms, Trace};
 use filbertsail_http::Body;
 use http::Request;
 use http_body_util::BodyExt;
@@ -113,3 +120,67 @@
     assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
     assert!(received < length, "{received} bytes arrived");
 }
+
+/// Server that answers each request with its path on every connection that it accepted since the last
+/// call of the returned function; the others stay open without a response.
+async fn start_silenceable() -> (SocketAddr, impl Fn()) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("address");
+    let round = Arc::new(AtomicU64::new(0));
+    let current = Arc::clone(&round);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let current = Arc::clone(&current);
+            let opened_in = current.load(Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut buffer = [0; 1_024];
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    if current.load(Ordering::SeqCst) > opened_in {
+                        continue;
+                    }
+                    let text = String::from_utf8_lossy(&buffer[..length]);
+                    let path = text.split(' ').nth(1).expect("path");
+                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", path.len());
+                    if stream.write_all((head + path).as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, move || {
+        round.fetch_add(1, Ordering::SeqCst);
+    })
+}
+
+/// Guards against one silent connection after the other, each of which costs a request its time
+/// limit although new ones work.
+#[tokio::test]
+async fn can_replace_all_silent_connections_at_once() {
+    let (address, silence) = start_silenceable().await;
+    let pool = Pool::default();
+    let terms = Terms { idempotent: true, matching: Matching::Content };
+    let get = |path: &str| Request::get(path).body(Body::full("body")).expect("request");
+    let mut channels = Vec::new();
+    for _ in 0..4 {
+        let sent = pool.send(address, get("/first"), terms, Instant::from_millis(1)).await;
+        let (response, channel) = sent.expect("response");
+        response.into_body().collect().await.expect("body");
+        channels.push(channel);
+    }
+    for channel in channels {
+        pool.keep(channel, Some(Duration::from_secs(60)), Instant::from_millis(10));
+    }
+    silence();
+    let now = Instant::from_millis(2_000);
+    let sent = pool.send_with_fallback(address, get("/second"), terms, now);
+    let (response, _) =
+        timeout(Duration::from_secs(30), sent).await.expect("in time").expect("sent");
+    let body = response.into_body().collect().await.expect("body").to_bytes();
+    assert_eq!(body, "/second");
+    // No other silent connection is left, so that this one needs a new one at once.
+    let mut trace = Trace::default();
+    let sent = pool.send_traced(address, get("/third"), terms, now, &mut trace);
+    timeout(Duration::from_secs(30), sent).await.expect("in time").expect("sent");
+    assert_eq!(trace.idle, None);
+}
--- a/components/telemetry/src/event/mod.rs
+++ b/components/telemetry/src/event/mod.rs
@@ -30,6 +30,15 @@
         self
     }
 
+    /// Appends a pair if there is a value.
+    #[must_use]
+    pub fn with_some(self, key: &str, value: Option<impl Display>) -> Self {
+        match value {
+            Some(value) => self.with(key, value),
+            None => self,
+        }
+    }
+
     /// Logs the line at level info.
     pub fn info(self) {
         log::info!("{}", self.0);
