Circuit breaker: the first event of the probe closes it, with a probation

Cause: a half-open breaker admitted the next request only after the end of the probe, and items last for up to ten seconds, the longest first.

The first event of a stream that was sent as the probe closes the breaker; the ramp then raises the limit. Until a whole request has succeeded, two consecutive failures open the breaker again, for twice as long. The gateway's streams report their first token in the same way. worker_circuit logs each change with its cause.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -141,6 +141,8 @@
     pub event_timeout: Duration,
     /// Largest output in bytes.
     pub output_limit: u64,
+    /// When the worker was chosen.
+    pub sent_at: clock::Instant,
     /// Whether to stop reading events for the time being.
     pub pause: watch::Receiver<bool>,
 }
@@ -233,6 +235,7 @@
         let mut parser = Parser::new(D::VERSION_FIELD);
         let mut version = answer.version;
         let mut interval = Interval::default();
+        let mut has_progressed = false;
         let mut pause = self.pause.clone();
         // Only complete events count as progress: a worker may send other bytes now and then.
         let mut deadline = Instant::now() + self.event_timeout;
@@ -275,6 +278,9 @@
                     return finish;
                 }
                 deadline = Instant::now() + self.event_timeout;
+                if !std::mem::replace(&mut has_progressed, true) {
+                    shared.fleet().record_first_event(self.worker, self.sent_at, now);
+                }
                 if let Some(interval_ms) = interval.record_event(now) {
                     shared.fleet().record_interval(self.worker, interval_ms, now);
                 }
--- a/components/entry/src/batch/task/items.rs
+++ b/components/entry/src/batch/task/items.rs
@@ -352,6 +352,7 @@
             head_timeout,
             event_timeout: attempt::event_timeout(state.stalls),
             output_limit: attempt::output_limit(submitted.max_tokens),
+            sent_at: now,
             pause: pause_receiver,
         };
         Line::new("item_sent")
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -22,7 +22,7 @@
 
 pub use backfill::{Reservation, Room, Run};
 pub use item::Requirements;
-pub use ramp::Transition;
+pub use ramp::{CircuitCause, CircuitChange, Transition};
 pub use request::Criteria;
 
 use crate::{
@@ -191,6 +191,7 @@
     /// Number of other VMs.
     peers: u32,
     transitions: Vec<Transition>,
+    circuit_changes: Vec<CircuitChange>,
 }
 
 /// Worker that stated that it is leaving.
@@ -371,7 +372,11 @@
         if let Some(worker) = self.workers.get_mut(key) {
             worker.in_flight += 1;
             worker.reserved_tokens = worker.reserved_tokens.saturating_add(tokens);
+            let state = worker.breaker.state();
             worker.breaker.record_dispatch(now);
+            if worker.breaker.state() != state {
+                self.keep_circuit(key, CircuitCause::Probe, now);
+            }
         }
     }
 
@@ -388,7 +393,7 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.in_flight = worker.in_flight.saturating_sub(1);
         worker.reserved_tokens = worker.reserved_tokens.saturating_sub(tokens);
-        let was_closed = worker.breaker.state() == State::Closed;
+        let state = worker.breaker.state();
         match end {
             End::Success | End::Answered { .. } => worker.breaker.record_success(),
             End::Failure => worker.breaker.record_failure(now, jitter),
@@ -398,8 +403,12 @@
             }
             End::Inconclusive => worker.breaker.record_inconclusive(now),
         }
-        let has_closed = !was_closed && worker.breaker.state() == State::Closed;
+        let has_changed = worker.breaker.state() != state;
+        let has_closed = has_changed && worker.breaker.state() == State::Closed;
         self.record_end(key, end, has_closed, now, jitter);
+        if has_changed {
+            self.keep_circuit(key, CircuitCause::RequestEnd, now);
+        }
     }
 
     /// Records the load stated in a response.
--- a/components/entry/src/fleet/ramp.rs
+++ b/components/entry/src/fleet/ramp.rs
@@ -5,9 +5,13 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
-use filbertsail_routing::pace::{Cause, Change, Terms};
+use filbertsail_routing::{
+    breaker::State,
+    pace::{Cause, Change, Terms},
+};
 
 use super::{End, Fleet, Worker};
 
@@ -26,6 +30,30 @@
     pub at: Instant,
 }
 
+/// Change of the circuit breaker of a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CircuitChange {
+    pub worker: String,
+    /// State after the change.
+    pub state: State,
+    pub cause: CircuitCause,
+    pub at: Instant,
+}
+
+/// Cause of a change of a circuit breaker.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CircuitCause {
+    /// A request was sent to probe the worker.
+    #[display("probe")]
+    Probe,
+    /// The probe has delivered its first event.
+    #[display("event")]
+    Event,
+    /// A request has ended.
+    #[display("request_end")]
+    RequestEnd,
+}
+
 impl Worker {
     /// Whether its pace allows another request of this VM.
     pub(super) fn is_within_pace(&self, now: Instant) -> bool {
@@ -124,6 +152,36 @@
         self.keep(key, change, now);
     }
 
+    /// Records the first event of a stream that was requested at `sent_at`. If it is the probe of a
+    /// half-open circuit breaker, the worker gets further requests, under a ramp.
+    pub fn record_first_event(&mut self, key: Key<Worker>, sent_at: Instant, now: Instant) {
+        let vms = self.peers.saturating_add(1);
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let was_closed = worker.breaker.state() == State::Closed;
+        worker.breaker.record_progress(sent_at);
+        if was_closed || worker.breaker.state() != State::Closed {
+            return;
+        }
+        let terms = Terms { vms, seed: now.as_micros(), warmup: Duration::ZERO };
+        let change = worker.pace.record_circuit_closed(terms, now);
+        self.keep(key, change, now);
+        self.keep_circuit(key, CircuitCause::Event, now);
+    }
+
+    /// Records a change of the circuit breaker of a worker for the log.
+    pub(super) fn keep_circuit(&mut self, key: Key<Worker>, cause: CircuitCause, now: Instant) {
+        let Some(worker) = self.workers.get(key) else { return };
+        if self.circuit_changes.len() < MAX_TRANSITIONS {
+            let (worker, state) = (worker.entry.id.clone(), worker.breaker.state());
+            self.circuit_changes.push(CircuitChange { worker, state, cause, at: now });
+        }
+    }
+
+    /// Changes of circuit breakers since the last call.
+    pub fn take_circuit_changes(&mut self) -> Vec<CircuitChange> {
+        std::mem::take(&mut self.circuit_changes)
+    }
+
     fn keep(&mut self, key: Key<Worker>, change: Option<Change>, now: Instant) {
         let (Some(change), Some(worker)) = (change, self.workers.get(key)) else { return };
         if self.transitions.len() < MAX_TRANSITIONS {
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -129,13 +129,22 @@
         .info();
 }
 
-/// Logs the ramps that began or ended, and counts those in progress.
+/// Logs the changes of circuit breakers and the ramps that began or ended, and counts the ramps in
+/// progress.
 fn report_ramps(shared: &Shared, now: Instant) {
-    let (transitions, ramps) = {
+    let (changes, transitions, ramps) = {
         let mut fleet = shared.fleet();
-        (fleet.take_transitions(now), fleet.ramps(now))
+        (fleet.take_circuit_changes(), fleet.take_transitions(now), fleet.ramps(now))
     };
     shared.metrics.set_worker_ramps(ramps);
+    for change in changes {
+        Line::new("worker_circuit")
+            .with("worker", &change.worker)
+            .with("state", change.state)
+            .with("cause", change.cause)
+            .with("age_ms", now.since(change.at).as_millis())
+            .info();
+    }
     for transition in transitions {
         log_ramp(&transition, now);
     }
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use filbertsail_clock::Instant;
 use filbertsail_collections::arena::Key;
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
@@ -147,6 +148,7 @@
     shared: Shared,
     worker: Key<Worker>,
     service: String,
+    sent_at: Instant,
     /// How the request ended; inconclusive until set.
     pub end: End,
 }
@@ -156,11 +158,18 @@
     pub fn start(shared: &Shared, worker: Key<Worker>) -> Option<(Entry, Self)> {
         let mut fleet = shared.fleet();
         let entry = fleet.get(worker)?.entry.clone();
-        fleet.record_dispatch(worker, 0, shared.now());
+        let sent_at = shared.now();
+        fleet.record_dispatch(worker, 0, sent_at);
         drop(fleet);
         shared.admission.wake(shared, &entry.service);
         let (shared, service) = (shared.clone(), entry.service.clone());
-        Some((entry, Self { shared, worker, service, end: End::Inconclusive }))
+        Some((entry, Self { shared, worker, service, sent_at, end: End::Inconclusive }))
+    }
+
+    /// Records the first event of a stream.
+    pub fn record_first_event(&self) {
+        let now = self.shared.now();
+        self.shared.fleet().record_first_event(self.worker, self.sent_at, now);
     }
 }
 
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -267,7 +267,7 @@
         last_event: &mut Option<u64>,
     ) -> StreamEnd {
         let Upstream { body, channel, answer, mut guard, .. } = stream;
-        let end_of_stream = self.forward_events::<D>(body, last_event).await;
+        let end_of_stream = self.forward_events::<D>(body, &guard, last_event).await;
         guard.end = match end_of_stream {
             StreamEnd::Complete => End::Success,
             StreamEnd::CallerDisconnected => End::Inconclusive,
@@ -283,8 +283,10 @@
     async fn forward_events<D: Dialect>(
         &self,
         mut body: Incoming,
+        guard: &Guard,
         last_event: &mut Option<u64>,
     ) -> StreamEnd {
+        let mut has_progressed = false;
         let mut parser = Parser::new(D::VERSION_FIELD);
         let limit = if self.route.resumable { EVENT_TIMEOUT } else { LAST_EVENT_TIMEOUT };
         // Only complete events count as progress: a worker may send other bytes now and then.
@@ -317,6 +319,9 @@
                             return StreamEnd::Broken("event ID out of sequence");
                         }
                         *last_event = event.id.or(*last_event);
+                        if !std::mem::replace(&mut has_progressed, true) {
+                            guard.record_first_event();
+                        }
                         if self.sender.send(Ok(event.raw)).await.is_err() {
                             return StreamEnd::CallerDisconnected;
                         }
--- a/components/gateway/src/generate/attempt.rs
+++ b/components/gateway/src/generate/attempt.rs
@@ -37,7 +37,9 @@
     let mut started = false;
     loop {
         let item = next_item(&mut response, &mut decoder, started).await?;
-        started = true;
+        if !std::mem::replace(&mut started, true) {
+            permit.record_progress();
+        }
         match item {
             stream::Item::Token(event) => {
                 progress.push(&id, &event)?;
--- a/components/gateway/src/router/admission.rs
+++ b/components/gateway/src/router/admission.rs
@@ -87,6 +87,8 @@
     /// Priority to pass to the engine.
     pub priority: u32,
     pub(super) worker: Key<Worker>,
+    /// When it was issued.
+    pub(super) sent_at: Instant,
     pub(super) messages: mpsc::UnboundedSender<Message>,
     pub(super) outcome: Outcome,
     /// Request identifier if the request is a rollout sample.
@@ -94,6 +96,13 @@
 }
 
 impl Permit {
+    /// Reports that the server has begun to produce its output.
+    pub fn record_progress(&self) {
+        let (worker, sent_at) = (self.worker, self.sent_at);
+        // Fails only during process shutdown.
+        let _ = self.messages.send(Message::Progressed { worker, sent_at });
+    }
+
     /// Reports the outcome of the attempt. A permit dropped without it counts as inconclusive.
     pub fn finish(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/components/gateway/src/router/mod.rs
+++ b/components/gateway/src/router/mod.rs
@@ -10,10 +10,15 @@
 use std::{collections::HashMap, sync::Arc};
 
 use filbertsail_api as api;
-use filbertsail_clock as clock;
+use filbertsail_clock::{self as clock, Instant};
 use filbertsail_cluster::config::Snapshot;
+use filbertsail_collections::arena::Key;
 use filbertsail_config::inventory::Service;
-use filbertsail_routing::{policy::Policy, prefix::Change, state::Report};
+use filbertsail_routing::{
+    policy::Policy,
+    prefix::Change,
+    state::{Report, Worker},
+};
 use filbertsail_wire::frame;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -57,6 +62,7 @@
 #[derive(Debug)]
 pub(crate) enum Message {
     Admit(Admission, oneshot::Sender<Result<Permit, Refusal>>),
+    Progressed { worker: Key<Worker>, sent_at: Instant },
     Finished(admission::Finished),
     SetConfig(Arc<Snapshot>, oneshot::Sender<()>),
     RecordReport { worker: String, report: Report },
--- a/components/gateway/src/router/task.rs
+++ b/components/gateway/src/router/task.rs
@@ -105,6 +105,10 @@
     fn handle(&mut self, message: Message) {
         match message {
             Message::Admit(admission, reply) => self.admit(admission, reply),
+            Message::Progressed { worker, sent_at } => {
+                self.fleet.record_progress(worker, sent_at, self.setup.clock.now());
+                self.dispatch_waiting_for_worker(worker);
+            }
             Message::Finished(finished) => self.on_finished(&finished),
             Message::SetConfig(config, reply) => {
                 self.apply_inventory(&config.inventory);
@@ -205,7 +209,9 @@
         else {
             return Some(waiting);
         };
+        let now = self.setup.clock.now();
         let permit = Permit {
+            sent_at: now,
             server: server.clone(),
             priority: self.priority(key, &waiting.admission),
             worker: choice.worker,
@@ -218,7 +224,7 @@
             self.samples.insert(sample.clone(), choice.worker);
         }
         self.log_route(&waiting.admission, choice);
-        self.fleet.record_dispatch(choice.worker, self.setup.clock.now());
+        self.fleet.record_dispatch(choice.worker, now);
         // If the caller has disconnected, the dropped permit reports an inconclusive outcome.
         let _ = waiting.reply.send(Ok(permit));
         None
--- a/components/routing/src/breaker/mod.rs
+++ b/components/routing/src/breaker/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Opens after consecutive failures or at a high failure rate. The second rule covers a server that
 //! fails part of its requests fast: its short queue would otherwise attract more traffic.
+//!
+//! An open breaker admits one request as a probe. Requests to model engines last for seconds, so the
+//! first event of the probe closes the breaker, and not only its end. Until a request has succeeded
+//! as a whole the server is on probation: fewer failures open the breaker again, for twice as long.
 
 use std::time::Duration;
 
@@ -10,6 +14,9 @@
 
 /// Consecutive failures that open the breaker.
 const MAX_CONSECUTIVE_FAILURES: u32 = 5;
+/// Consecutive failures that open the breaker again before a request has succeeded. A single one may
+/// be due to the request or to a broken connection.
+const MAX_FAILURES_ON_PROBATION: u32 = 2;
 /// Outcomes needed before the failure rate is considered.
 const MIN_OUTCOMES_FOR_RATE: u32 = 10;
 /// Failure rate that opens the breaker.
@@ -51,6 +58,7 @@
     consecutive_failures: u32,
     outcomes: u32,
     failure_rate: f64,
+    /// Times that it opened since the last success of a whole request while it was closed or half-open.
     consecutive_trips: u32,
 }
 
@@ -88,8 +96,20 @@
     pub fn record_success(&mut self) {
         self.consecutive_failures = 0;
         self.record_outcome(0.0);
-        if matches!(self.state, State::HalfOpen { .. }) {
-            *self = Self::default();
+        match self.state {
+            State::Closed => self.consecutive_trips = 0,
+            State::Open { .. } => {}
+            State::HalfOpen { .. } => *self = Self::default(),
+        }
+    }
+
+    /// Records that a request sent at `sent_at` has begun to produce its output. Closes the breaker if
+    /// the request is the probe.
+    pub fn record_progress(&mut self, sent_at: Instant) {
+        if let State::HalfOpen { probed_at } = self.state
+            && sent_at >= probed_at
+        {
+            *self = Self { consecutive_trips: self.consecutive_trips, ..Self::default() };
         }
     }
 
@@ -121,7 +141,12 @@
     }
 
     fn should_open(&self) -> bool {
-        self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+        let is_on_probation = self.consecutive_trips > 0;
+        let max_failures = match is_on_probation {
+            true => MAX_FAILURES_ON_PROBATION,
+            false => MAX_CONSECUTIVE_FAILURES,
+        };
+        self.consecutive_failures >= max_failures
             || (self.outcomes >= MIN_OUTCOMES_FOR_RATE && self.failure_rate >= MAX_FAILURE_RATE)
     }
 
--- a/components/routing/src/state/mod.rs
+++ b/components/routing/src/state/mod.rs
@@ -179,6 +179,17 @@
         }
     }
 
+    /// Records that the worker `key` has begun to produce the output of a request sent at `sent_at`.
+    pub fn record_progress(&mut self, key: Key<Worker>, sent_at: Instant, now: Instant) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let was_closed = worker.breaker.state() == State::Closed;
+        worker.breaker.record_progress(sent_at);
+        if !was_closed && worker.breaker.state() == State::Closed {
+            let change = worker.pace.record_circuit_closed(terms(0.0), now);
+            self.ramp_changes.extend(change.map(|change| (key, change)));
+        }
+    }
+
     /// Begins and ends of ramps since the last call.
     pub fn take_ramp_changes(&mut self) -> Vec<(Key<Worker>, Change)> {
         std::mem::take(&mut self.ramp_changes)
