Time limits on peers count only while the process runs

A VM that ran a step was frozen for 1.8 s.

Cause, one of two: the timers of all items had run out before the bytes were read that the engines had sent meanwhile, so each item ended as stalled and the circuit breakers of all engines opened.

filbertsail_clock::running counts a freeze as a quarter of a time limit at most, and gives time to read what has arrived. It judges heads and events of items, streams, reward calls, reports and calls between VMs. Limits of a caller's own time still end in time, but an answer that is there is delivered, and a missing one says nothing about the worker. Orders and leases count all time, as before.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`Boot`] reads `CLOCK_BOOTTIME`, which, unlike `std::time::Instant`, includes the time that the
 //! VM is suspended: a lease holder must notice after a resume that its lease has expired.
 
+pub mod running;
+
 use std::{
     sync::{
         Arc,
--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -3,16 +3,16 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use filbertsail_clock as clock;
+use filbertsail_clock::{
+    self as clock,
+    running::{self, Limit},
+};
 use filbertsail_collections::arena::Key;
 use filbertsail_http::Body;
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    sync::watch,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::sync::watch;
 
 use super::execution::Output;
 use crate::{
@@ -156,7 +156,7 @@
         let terms = Terms::identified(true, self.id.as_bytes());
         let sent_at = shared.now();
         let exchange = shared.pool.send_with_fallback(self.address, request, terms, sent_at);
-        let (response, connection) = match timeout(self.head_timeout, exchange).await {
+        let (response, connection) = match running::timeout(self.head_timeout, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(fault)) => return Finish::Broken(fault.reason),
             Err(_) => {
@@ -238,7 +238,7 @@
         let mut has_progressed = false;
         let mut pause = self.pause.clone();
         // Only complete events count as progress: a worker may send other bytes now and then.
-        let mut deadline = Instant::now() + self.event_timeout;
+        let mut limit = Limit::new(self.event_timeout);
         loop {
             if *pause.borrow() {
                 // The sender was dropped: the attempt has been replaced and is about to be
@@ -247,12 +247,12 @@
                     return Finish::Broken("replaced".to_owned());
                 }
                 interval = Interval::default();
-                deadline = Instant::now() + self.event_timeout;
+                limit = Limit::new(self.event_timeout);
             }
             let frame = tokio::select! {
                 biased;
                 Ok(_) = pause.wait_for(|pause| *pause) => continue,
-                frame = timeout_at(deadline, body.frame()) => frame,
+                frame = limit.run(body.frame()) => frame,
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
@@ -277,7 +277,7 @@
                 if let Err(finish) = self.append_event(event, version, now) {
                     return finish;
                 }
-                deadline = Instant::now() + self.event_timeout;
+                limit = Limit::new(self.event_timeout);
                 if !std::mem::replace(&mut has_progressed, true) {
                     shared.fleet().record_first_event(self.worker, self.sent_at, now);
                 }
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use filbertsail_clock::running;
 use filbertsail_collections::arena::Key;
 use filbertsail_http::Body;
 use http::{Method, Request, StatusCode};
-use tokio::time::timeout;
 
 use super::Call;
 use crate::{
@@ -81,7 +81,7 @@
     /// Sends the call and reads the response.
     pub async fn run<D: Dialect>(self, shared: &Shared) -> Finish {
         let sent_at = shared.now();
-        match timeout(self.limit, self.exchange::<D>(shared)).await {
+        match running::timeout(self.limit, self.exchange::<D>(shared)).await {
             Ok(finish) => finish,
             Err(_) => {
                 shared.pool.close_idle_since(self.address, sent_at);
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use derive_more::{Debug, Display, Error};
-use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_clock::{Boot, Instant, Source, running};
 use filbertsail_collections::{HashMap, Hasher};
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
@@ -288,7 +288,7 @@
         let Some((mut link, idle)) = self.take(address, terms, now) else {
             return self.send_on_new(address, request, matching).await;
         };
-        let sent = timeout(SILENCE_LIMIT, link.sender.try_send_request(request)).await;
+        let sent = running::timeout(SILENCE_LIMIT, link.sender.try_send_request(request)).await;
         let reason = match sent {
             Ok(Ok(response)) => return Ok((response, Channel { link, address, matching })),
             Ok(Err(error)) => error.into_error().to_string(),
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use filbertsail_clock::Instant;
+use filbertsail_clock::{Instant, running};
 use filbertsail_collections::arena::Key;
 use filbertsail_errors::Verdict;
 use filbertsail_http::Body;
 use filbertsail_telemetry::event::Line;
 use http::{Request, Response, StatusCode, header::HeaderName};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use super::Job;
 use crate::{
@@ -109,14 +108,16 @@
     };
     let mut trace = Trace::default();
     let exchange = exchange::<D>(shared, (worker, &entry), job, reuses_idle, time_left, &mut trace);
-    let (finish, end) = match timeout(limit, exchange).await {
-        Ok(done) => done,
-        Err(_) => {
+    let (result, was_frozen) = match running::deadline(limit, exchange).await {
+        Ok(done) => (done, false),
+        Err(elapsed) => {
             shared.pool.close_idle_since(entry.address, now);
-            (failed(Verdict::MayHaveRun, "no answer in time"), End::Failure)
+            let finish = failed(Verdict::MayHaveRun, "no answer in time");
+            ((finish, End::Failure), elapsed.was_frozen)
         }
     };
-    let is_unproven = matches!(finish, Finish::Failed { .. }) && trace.was_idle();
+    let (finish, end) = result;
+    let is_unproven = matches!(finish, Finish::Failed { .. }) && (trace.was_idle() || was_frozen);
     let end = if end == End::Failure && is_unproven { End::Inconclusive } else { end };
     let took = shared.now().since(now);
     guard.end = if end == End::Success { End::Answered { took } } else { end };
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertsail_clock::running::{self, Limit};
 use filbertsail_collections::arena::Key;
 use filbertsail_errors::Verdict;
 use filbertsail_http::{Body, body::Abort};
@@ -15,10 +16,7 @@
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::sync::mpsc;
 
 use super::{
     Job,
@@ -130,14 +128,15 @@
         let may_retry = route.resumable && tried.len() < route.max_attempts as usize;
         let limit = if may_retry { time_left.min(HEAD_TIMEOUT) } else { time_left };
         let exchange = head::<D>(shared, (worker, &entry), job, last_event, time_left);
-        let (cause, end) = match timeout(limit, exchange).await {
+        let (cause, end) = match running::deadline(limit, exchange).await {
             Ok(Ok((head, body, channel, answer))) => {
                 return Ok(Upstream { head, body, channel, answer, guard });
             }
             Ok(Err(failure)) => failure,
-            Err(_) => {
+            Err(elapsed) => {
                 shared.pool.close_idle_since(entry.address, now);
-                (Unopened::new(Verdict::MayHaveRun, "no answer in time"), End::Failure)
+                let end = if elapsed.was_frozen { End::Inconclusive } else { End::Failure };
+                (Unopened::new(Verdict::MayHaveRun, "no answer in time"), end)
             }
         };
         let mut guard = guard;
@@ -290,11 +289,11 @@
         let mut parser = Parser::new(D::VERSION_FIELD);
         let limit = if self.route.resumable { EVENT_TIMEOUT } else { LAST_EVENT_TIMEOUT };
         // Only complete events count as progress: a worker may send other bytes now and then.
-        let mut deadline = Instant::now() + limit;
+        let mut left = Limit::new(limit);
         loop {
             let frame = tokio::select! {
                 () = self.sender.closed() => return StreamEnd::CallerDisconnected,
-                frame = timeout_at(deadline, body.frame()) => frame,
+                frame = left.run(body.frame()) => frame,
             };
             let bytes = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -326,7 +325,7 @@
                             return StreamEnd::CallerDisconnected;
                         }
                         // Counted from here, since a slow caller blocks the send.
-                        deadline = Instant::now() + limit;
+                        left = Limit::new(limit);
                     }
                     Ok(None) => break,
                     Err(_) => return StreamEnd::Broken("malformed event"),
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use filbertsail_clock::running;
 use filbertsail_cluster::lease::Grant;
 use filbertsail_collections::{HashSet, arena::Key};
 use filbertsail_http::Body;
@@ -216,14 +217,14 @@
             let now = shared.now();
             // The lease may have expired since the call was planned, and must not before it ends.
             let may_order = grant.allows_orders(now, false);
-            let limit = match &line {
-                Some(_) => CALL_TIMEOUT.min(grant.deadline.since(now)),
-                None => CALL_TIMEOUT,
-            };
             let exchange = call::<D>(&shared, (worker, entry.address), request, line.is_some());
             let reply = match &line {
                 Some(_) if !may_order => Reply::Refused,
-                _ => timeout(limit, exchange).await.unwrap_or_else(|_| {
+                Some(_) => {
+                    let limit = CALL_TIMEOUT.min(grant.deadline.since(now));
+                    timeout(limit, exchange).await.unwrap_or(Reply::NoResponse)
+                }
+                None => running::timeout(CALL_TIMEOUT, exchange).await.unwrap_or_else(|_| {
                     shared.pool.close_idle_since(entry.address, now);
                     Reply::NoResponse
                 }),
--- a/components/wire/src/link/client.rs
+++ b/components/wire/src/link/client.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use filbertsail_clock::running;
 use h2::{
     RecvStream, client,
     client::{ResponseFuture, SendRequest},
@@ -80,7 +81,7 @@
         request: &Frame,
         limit: Duration,
     ) -> Result<Frame, Error> {
-        match time::timeout(limit, self.call_unary(request)).await {
+        match running::timeout(limit, self.call_unary(request)).await {
             Ok(result) => result,
             Err(_) => {
                 // While another call holds the lock, it is about to open a connection or to test
