Store: a frozen VM does not take the store for lost, and lapses end with its return

Cause: the wait for changes had run out before the answer was read; the read then went through a peer, was cut off when a probe of the store succeeded, and returned its first fault; so the store counted as lost and, 0.1 s later, as returned, and a removal within 1.5 s of that as a lapse, which kept the worker for two seconds from the removal, checked every half second.

Time limits of store calls and of the switch to peers count running time. A read cut off because the store answers again is made again directly. A lapsed entry counts as gone two seconds after the return of the store, whenever it disappeared, and at that moment.

Evidence, each undone alone: with plain timers in the store's client can_stop_using_a_worker_that_is_removed_after_a_freeze fails (the store was taken for lost); without the second read can_call_directly_once_the_store_returns fails. That test stated before that the first read fails; a read that fails although the store answers is the fault, so it states now that it succeeds. can_keep_lapsed_workers_for_a_while counts from the return instead of the disappearance, which is never later.

--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -49,8 +49,8 @@
 /// How long a worker that stated that it is leaving is remembered after its entry was removed. It
 /// exits within seconds to a minute, and its entry may come back until then.
 const LEAVER_RETENTION: Duration = Duration::from_secs(300);
-/// Time within which entries that lapsed during a store outage come back.
-const LAPSE_GRACE: Duration = Duration::from_secs(2);
+/// Time after the return of the store within which entries that lapsed meanwhile come back.
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Entry of a worker in the registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -110,8 +110,8 @@
     pace: Pace,
     /// End of the pause after a refusal.
     pub paused_until: Instant,
-    /// When its entry lapsed during a store outage.
-    lapsed_at: Option<Instant>,
+    /// Whether its entry disappeared during a store outage or right after it.
+    has_lapsed: bool,
     /// Whether it stated in a response that it is leaving. Its entry may lag behind.
     is_leaving: bool,
 }
@@ -297,25 +297,27 @@
 
     /// Handles the disappearance of the entry of `id`. With `grace`, the entry may have lapsed only
     /// because of a store outage, and the worker is kept for now.
-    pub fn remove_entry(&mut self, id: &str, grace: bool, now: Instant) -> Change {
+    pub fn remove_entry(&mut self, id: &str, grace: bool) -> Change {
         let Some(key) = self.ids.get(id).copied() else { return Change::Unchanged };
         if grace && let Some(worker) = self.workers.get_mut(key) {
-            worker.lapsed_at.get_or_insert(now);
+            worker.has_lapsed = true;
             return Change::Lapsed;
         }
         self.remove(id);
         Change::Removed
     }
 
-    /// Removes workers whose lapsed entry has not come back; returns their identifiers.
-    pub fn remove_lapsed(&mut self, now: Instant) -> Vec<String> {
-        let expired = |worker: &Worker| {
-            worker.lapsed_at.is_some_and(|lapsed_at| now.since(lapsed_at) >= LAPSE_GRACE)
-        };
+    /// Removes workers whose lapsed entry has not come back within [`LAPSE_GRACE`] after the store
+    /// `returned`; returns their identifiers. An entry may disappear some time after the return, and
+    /// its worker leaves as long after that as any other.
+    pub fn remove_lapsed(&mut self, returned: Instant, now: Instant) -> Vec<String> {
+        if now.since(returned) < LAPSE_GRACE {
+            return Vec::new();
+        }
         let ids: Vec<String> = self
             .workers
             .iter()
-            .filter(|(_, worker)| expired(worker))
+            .filter(|(_, worker)| worker.has_lapsed)
             .map(|(_, worker)| worker.entry.id.clone())
             .collect();
         for id in &ids {
@@ -352,7 +354,7 @@
             breaker: Breaker::default(),
             pace,
             paused_until: Instant::default(),
-            lapsed_at: None,
+            has_lapsed: false,
             is_leaving,
         });
         self.ids.insert(id, key);
@@ -542,7 +544,7 @@
         for (model, version) in known {
             self.raise_version(&model, version);
         }
-        self.lapsed_at = None;
+        self.has_lapsed = false;
     }
 
     fn raise_version(&mut self, model: &str, version: u64) {
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -7,12 +7,12 @@
 use filbertsail_ports::store::{Row, Store};
 use filbertsail_routing::pace;
 use filbertsail_telemetry::event::Line;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::{Table, Update, WAIT, follow};
 use crate::{
     dialect::Dialect,
-    fleet::{Change, Transition},
+    fleet::{Change, LAPSE_GRACE, Transition},
     shared::Shared,
 };
 
@@ -106,7 +106,7 @@
         let fleet = shared.fleet();
         fleet.key(id).and_then(|key| fleet.get(key)).map(|worker| worker.entry.address)
     };
-    let change = shared.fleet().remove_entry(id, grace, now);
+    let change = shared.fleet().remove_entry(id, grace);
     if let (Change::Removed, Some(address)) = (change, address) {
         shared.pool.close_idle(address);
     }
@@ -166,19 +166,31 @@
     }
 }
 
+/// Time until workers are removed whose entries lapsed; none if that is not known or over.
+fn lapses_end(shared: &Shared, now: Instant) -> Option<Duration> {
+    let link = *shared.link.borrow();
+    let end = link.returned.filter(|_| link.lost.is_none())?.after(LAPSE_GRACE);
+    (now < end).then(|| end.since(now))
+}
+
 async fn remove_expired(shared: Shared) {
     let mut ticks = interval(EXPIRE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let due = lapses_end(&shared, shared.now());
+        let is_tick = tokio::select! {
+            _ = ticks.tick() => true,
+            () = sleep(due.unwrap_or_default()), if due.is_some() => false,
+        };
         let now = shared.now();
-        shared.pool.close_expired(now);
-        report_ramps(&shared, now);
-        // During a store outage it is unknown whether a worker still runs.
-        if shared.link.borrow().lost.is_some() {
-            continue;
+        if is_tick {
+            shared.pool.close_expired(now);
+            report_ramps(&shared, now);
         }
-        let removed = shared.fleet().remove_lapsed(now);
+        let link = *shared.link.borrow();
+        // During a store outage it is unknown whether a worker still runs.
+        let (None, Some(returned)) = (link.lost, link.returned) else { continue };
+        let removed = shared.fleet().remove_lapsed(returned, now);
         for id in removed {
             log_change(Change::Removed, &id, "", 0);
             shared.fleet_changed.send_modify(|count| *count += 1);
--- a/components/entry/src/relay/mod.rs
+++ b/components/entry/src/relay/mod.rs
@@ -11,13 +11,10 @@
 
 use std::{future::Future, pin::pin, sync::Arc, time::Duration};
 
-use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_clock::{Boot, Instant, Source, running};
 use filbertsail_ports::store::{Commit, Fault, Page, Range, Store, Transaction};
 use filbertsail_telemetry::event::Line;
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch, time::sleep};
 
 pub use budget::Budget;
 pub use call::{Answer, Call, Tables};
@@ -49,16 +46,16 @@
     }
 
     /// Makes a call directly, or through a peer while direct calls fail.
-    async fn call<T>(
+    async fn call<T, F: Future<Output = Result<T, Fault>> + Send>(
         &self,
-        direct: impl Future<Output = Result<T, Fault>> + Send,
+        direct: impl Fn() -> F + Send,
         call: Call,
         wait: Duration,
         decode: impl Fn(Answer) -> Result<T, Fault>,
     ) -> Result<T, Fault> {
         let is_transaction = matches!(call, Call::Transact { .. });
         if self.unreachable_since.borrow().is_none() {
-            let result = self.await_direct(direct, wait).await;
+            let result = self.await_direct(direct(), wait).await;
             let fault = match result {
                 Ok(value) => return Ok(value),
                 Err(fault @ (Fault::Conflict(_) | Fault::Expired)) => return Err(fault),
@@ -69,12 +66,18 @@
             if is_transaction && matches!(fault, Fault::Unknown(_)) {
                 return Err(fault);
             }
-            let relayed = self.relay(&call, wait).await;
-            return relayed.map_or(Err(fault), decode);
+            return match self.relay(&call, wait).await {
+                Some(answer) => decode(answer),
+                // The store answers again, so that the fault is out of date.
+                None if self.unreachable_since.borrow().is_none() && !self.peers.is_empty() => {
+                    direct().await
+                }
+                None => Err(fault),
+            };
         }
         match self.relay(&call, wait).await {
             Some(answer) => decode(answer),
-            None => direct.await,
+            None => direct().await,
         }
     }
 
@@ -85,7 +88,7 @@
         wait: Duration,
     ) -> Result<T, Fault> {
         let mut direct = pin!(direct);
-        match timeout(wait + FAILOVER_DELAY, direct.as_mut()).await {
+        match running::timeout(wait + FAILOVER_DELAY, direct.as_mut()).await {
             Ok(result) => result,
             Err(_) => {
                 self.fail_over();
@@ -171,13 +174,14 @@
 impl<S: Store> Store for Relay<S> {
     async fn transact(&self, transaction: Transaction) -> Result<Commit, Fault> {
         let call = self.tables.transact(&transaction);
-        let direct = self.direct.transact(transaction);
+        let direct = || self.direct.transact(transaction.clone());
         self.call(direct, call, Duration::ZERO, Answer::commit).await
     }
 
     async fn range(&self, range: Range) -> Result<Page, Fault> {
         let call = self.tables.range(&range);
-        self.call(self.direct.range(range), call, Duration::ZERO, Answer::page).await
+        let direct = || self.direct.range(range.clone());
+        self.call(direct, call, Duration::ZERO, Answer::page).await
     }
 
     async fn changes(
@@ -187,7 +191,7 @@
         wait: Duration,
     ) -> Result<Page, Fault> {
         let call = self.tables.changes(table, version, wait);
-        let direct = self.direct.changes(table, version, wait);
+        let direct = || self.direct.changes(table, version, wait);
         self.call(direct, call, wait, Answer::page).await
     }
 }
