Connections: interim responses without end are cut off

Tried for each place that reads a worker's bytes, in every framing, fast and slow; one form was found: the HTTP library reads and drops interim responses without a limit, and 156 MB of 100 Continue were read and parsed in the 0.6 s of one attempt. Memory did not grow.

After 16 interim responses to a request its connection is closed.

Also: running::Limit counts the time between two reads, which it left out, so that comments without end were given up after 3.2 s instead of 1.6 s.

Evidence: can_survive_responses_without_end fails before (156 MB on one connection, bound 24 MB), and can_give_up_streams_without_progress fails with the limit before (31 MB in 3.17 s); both pass now.

--- a/components/clock/src/running/mod.rs
+++ b/components/clock/src/running/mod.rs
@@ -26,21 +26,23 @@
     pub was_frozen: bool,
 }
 
-/// Time limit that may span several waits.
+/// Time limit that may span several waits, and counts the time between them.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
     step: Duration,
     left: Duration,
+    /// Time up to which running time is counted.
+    counted_at: Instant,
     graces: u32,
     was_frozen: bool,
 }
 
 impl Limit {
-    /// Creates a limit of `limit` of running time.
+    /// Creates a limit of `limit` of running time from now on.
     #[must_use]
     pub fn new(limit: Duration) -> Self {
         let step = (limit / STEPS).max(Duration::from_millis(1));
-        Self { step, left: limit, graces: 0, was_frozen: false }
+        Self { step, left: limit, counted_at: Instant::now(), graces: 0, was_frozen: false }
     }
 
     /// Awaits `future` within what is left of the limit.
@@ -50,22 +52,28 @@
     pub async fn run<F: Future>(&mut self, future: F) -> Result<F::Output, Elapsed> {
         let mut future = pin!(future);
         loop {
-            let (step, started) = (self.step.min(self.left), Instant::now());
-            let result = plain_timeout(step, future.as_mut()).await;
-            let elapsed = started.elapsed();
-            self.left = self.left.saturating_sub(elapsed.min(step));
+            self.count();
+            if self.left.is_zero() {
+                return Err(Elapsed { was_frozen: self.was_frozen });
+            }
+            let result = plain_timeout(self.step.min(self.left), future.as_mut()).await;
             if let Ok(output) = result {
                 return Ok(output);
             }
-            if elapsed >= step + FREEZE_DELAY {
-                self.was_frozen = true;
-                if self.left < GRACE && self.graces < MAX_GRACES {
-                    self.graces += 1;
-                    self.left = GRACE;
-                }
-            }
-            if self.left.is_zero() {
-                return Err(Elapsed { was_frozen: self.was_frozen });
+        }
+    }
+
+    /// Counts the time since the last call, one step of it at most.
+    fn count(&mut self) {
+        let now = Instant::now();
+        let (elapsed, step) = (now - self.counted_at, self.step.min(self.left));
+        self.counted_at = now;
+        self.left -= elapsed.min(step);
+        if elapsed >= self.step + FREEZE_DELAY {
+            self.was_frozen = true;
+            if self.left < GRACE && self.graces < MAX_GRACES {
+                self.graces += 1;
+                self.left = GRACE;
             }
         }
     }
--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     hash::{BuildHasher as _, BuildHasherDefault},
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -25,7 +28,7 @@
 };
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, task::AbortHandle, time::timeout};
 
 /// Timeout for establishing a connection. Zones are a few milliseconds apart, and a lost packet of
 /// the handshake is retransmitted after one second.
@@ -52,6 +55,10 @@
 /// without end on each of hundreds of connections.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Interim responses that are read before the final one. None is asked for, so that a server has no
+/// reason to send more than one or two.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// How a response on a connection is matched to its request.
 ///
 /// A worker may send a second copy of a response late, when the connection is in use again.
@@ -250,20 +257,16 @@
             None => self.connect(address).await?,
         };
         check_deadline()?;
-        match link.sender.try_send_request(request).await {
+        match send_on(&mut link, request).await {
             Ok(response) => Ok((response, Channel { link, address, matching })),
-            Err(mut error) => match error.take_message() {
-                // The connection was already closed, and the request has not been written.
-                Some(request) => {
-                    trace.idle = None;
-                    let mut link = self.connect(address).await?;
-                    check_deadline()?;
-                    let sent = link.sender.send_request(request).await;
-                    let response = sent.map_err(Fault::may_have_run)?;
-                    Ok((response, Channel { link, address, matching }))
-                }
-                None => Err(Fault::may_have_run(error.into_error())),
-            },
+            Err(SendError::Unsent(request)) => {
+                trace.idle = None;
+                let mut link = self.connect(address).await?;
+                check_deadline()?;
+                let response = send_on(&mut link, request).await?;
+                Ok((response, Channel { link, address, matching }))
+            }
+            Err(SendError::Failed(reason)) => Err(Fault::may_have_run(reason)),
         }
     }
 
@@ -288,10 +291,12 @@
         let Some((mut link, idle)) = self.take(address, terms, now) else {
             return self.send_on_new(address, request, matching).await;
         };
-        let sent = running::timeout(SILENCE_LIMIT, link.sender.try_send_request(request)).await;
-        let reason = match sent {
+        let reason = match running::timeout(SILENCE_LIMIT, send_on(&mut link, request)).await {
             Ok(Ok(response)) => return Ok((response, Channel { link, address, matching })),
-            Ok(Err(error)) => error.into_error().to_string(),
+            Ok(Err(SendError::Unsent(request))) => {
+                return self.send_on_new(address, request, matching).await;
+            }
+            Ok(Err(SendError::Failed(reason))) => reason,
             Err(_) => "no response".to_owned(),
         };
         drop(link);
@@ -312,8 +317,7 @@
         matching: Matching,
     ) -> Result<(Response<Incoming>, Channel), Fault> {
         let mut link = self.connect(address).await?;
-        let sent = link.sender.send_request(request).await;
-        let response = sent.map_err(Fault::may_have_run)?;
+        let response = send_on(&mut link, request).await?;
         Ok((response, Channel { link, address, matching }))
     }
 
@@ -406,6 +410,57 @@
     }
 }
 
+/// Why a request got no response head.
+enum SendError {
+    /// The connection was already closed, and the request has not been written.
+    Unsent(Request<Body>),
+    /// The request may have been written.
+    Failed(String),
+}
+
+impl From<SendError> for Fault {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(_) => Self::not_run("connection closed"),
+            SendError::Failed(reason) => Self::may_have_run(reason),
+        }
+    }
+}
+
+/// Interim responses to one request.
+#[derive(Debug, Default)]
+struct Interim {
+    count: AtomicU32,
+    exceeded: Notify,
+}
+
+/// Sends a request and waits for its final response head. A worker may send interim responses without
+/// end, which the HTTP library reads and drops.
+async fn send_on(
+    link: &mut Link,
+    mut request: Request<Body>,
+) -> Result<Response<Incoming>, SendError> {
+    let interim = Arc::new(Interim::default());
+    let counter = Arc::clone(&interim);
+    hyper::ext::on_informational(&mut request, move |_| {
+        if counter.count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            counter.exceeded.notify_one();
+        }
+    });
+    tokio::select! {
+        biased;
+        sent = link.sender.try_send_request(request) => {
+            sent.map_err(|mut error| match error.take_message() {
+                Some(request) => SendError::Unsent(request),
+                None => SendError::Failed(error.into_error().to_string()),
+            })
+        }
+        () = interim.exceeded.notified() => {
+            Err(SendError::Failed("too many interim responses".to_owned()))
+        }
+    }
+}
+
 /// Copy of a request whose body has not been sent; nothing if the body is a stream.
 fn copy(request: &Request<Body>) -> Option<Request<Body>> {
     let Body::Full(bytes) = request.body() else { return None };
