Workers: a status that HTTP does not allow as a final one is no answer

status::is_final decides by RFC 9110, section 15, for plain requests, streams, items, reward calls, reports, orders and the gateway's applications. The attempt has failed and may have run.

--- a/components/entry/src/batch/attempt.rs
+++ b/components/entry/src/batch/attempt.rs
@@ -8,8 +8,8 @@
     running::{self, Limit},
 };
 use filbertsail_collections::arena::Key;
-use filbertsail_http::Body;
-use http::{Method, Request, StatusCode};
+use filbertsail_http::{Body, status::is_final};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::watch;
@@ -198,6 +198,9 @@
         if answer.id.as_ref().is_some_and(|id| id.as_bytes() != self.id.as_bytes()) {
             return Some(Finish::Broken("response to another request".to_owned()));
         }
+        if !is_final(status, &Method::POST, &HeaderMap::new()) {
+            return Some(Finish::Broken(format!("invalid status {}", status.as_u16())));
+        }
         if status != StatusCode::MISDIRECTED_REQUEST {
             shared.record_answer(self.worker, answer);
         }
--- a/components/entry/src/batch/reward/attempt.rs
+++ b/components/entry/src/batch/reward/attempt.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use filbertsail_clock::running;
 use filbertsail_collections::arena::Key;
-use filbertsail_http::Body;
-use http::{Method, Request, StatusCode};
+use filbertsail_http::{Body, status::is_final};
+use http::{HeaderMap, Method, Request, StatusCode};
 
 use super::Call;
 use crate::{
@@ -105,6 +105,9 @@
         if answer.id.as_ref().is_some_and(|id| id.as_bytes() != self.call.id.as_bytes()) {
             return Finish::Broken("response to another request".to_owned());
         }
+        if !is_final(response.status(), &Method::POST, &HeaderMap::new()) {
+            return Finish::Broken(format!("invalid status {}", response.status().as_u16()));
+        }
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             shared.record_answer(self.worker, &answer);
         }
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -5,7 +5,7 @@
 use filbertsail_clock::{Instant, running};
 use filbertsail_collections::arena::Key;
 use filbertsail_errors::Verdict;
-use filbertsail_http::Body;
+use filbertsail_http::{Body, status::is_final};
 use filbertsail_telemetry::event::Line;
 use http::{Request, Response, StatusCode, header::HeaderName};
 use hyper::body::Incoming;
@@ -22,6 +22,8 @@
 pub use filbertsail_admission::REFUSAL_PAUSE;
 /// Reason of an attempt that the worker refused without running it.
 pub const REFUSED: &str = "refused by the worker";
+/// Reason of an attempt whose response has a status that HTTP does not allow there.
+const INVALID_STATUS: &str = "status not allowed as a final answer";
 /// Pause before a worker gets new requests after another instance answered at its address.
 const MISDIRECTED_PAUSE: Duration = Duration::from_secs(2);
 /// Hop-by-hop headers, which are not forwarded.
@@ -253,6 +255,9 @@
     if answer.id.is_some() && answer.id != job.caller.id {
         return Some((failed(Verdict::MayHaveRun, "answer to another request"), End::Failure));
     }
+    if !is_final(status, &job.method, &job.headers) {
+        return Some((failed(Verdict::MayHaveRun, INVALID_STATUS), End::Failure));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         let end = End::Refused { pause: MISDIRECTED_PAUSE };
         return Some((failed(Verdict::NotRun, "another worker has the address"), end));
--- a/components/entry/src/weights/task.rs
+++ b/components/entry/src/weights/task.rs
@@ -6,10 +6,10 @@
 use filbertsail_clock::running;
 use filbertsail_cluster::lease::Grant;
 use filbertsail_collections::{HashSet, arena::Key};
-use filbertsail_http::Body;
+use filbertsail_http::{Body, status::is_final};
 use filbertsail_ports::store::Store;
 use filbertsail_telemetry::event::Line;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::mpsc,
@@ -260,6 +260,7 @@
     is_order: bool,
 ) -> Reply {
     let request = request.map(Body::full);
+    let method = request.method().clone();
     let exchange = async {
         let now = shared.now();
         // An earlier report is out of date at worst; each order names what it expects.
@@ -269,6 +270,15 @@
         let pool = if is_order { &shared.order_pool } else { &shared.pool };
         let (response, channel) = pool.send(address, request, terms, now).await.ok()?;
         let (head, body) = response.into_parts();
+        // Whether the order was accepted is unknown then.
+        if !is_final(head.status, &method, &HeaderMap::new()) {
+            Line::new("reply_invalid")
+                .with("address", address)
+                .with("status", head.status.as_u16())
+                .with("order", is_order)
+                .warn();
+            return None;
+        }
         let answer = D::decode_answer(&head.headers);
         let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
         let is_report = D::decode_report(&body).is_ok();
--- a/components/gateway/src/proxy/attempt.rs
+++ b/components/gateway/src/proxy/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server.
 
 use filbertsail_errors::{DEADLINE_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
+use filbertsail_http::status::is_final;
 use http::{HeaderValue, StatusCode, response::Parts};
 
 use super::{Attempt, Request, is_failure};
@@ -22,6 +23,11 @@
     if request.service.echoes_request_id {
         check_request_id(&response.head, &id)?;
     }
+    let status = response.head.status;
+    if !is_final(status, &request.method, &request.headers) {
+        let message = format!("status {} is not allowed as a final answer", status.as_u16());
+        return Err(Failure::may_have_run(Kind::Mismatched, message));
+    }
     body::check_framing(&request.method, &response.head, &response.body)?;
     let (head, received) = body::read(response).await?;
     if !is_failure(head.status) {
--- a/components/gateway/tests/verdicts.rs
+++ b/components/gateway/tests/verdicts.rs
@@ -6,7 +6,7 @@
 
 use common::{Gateway, Scripted, encode_response, start_healthy, verdict};
 use http::Method;
-use tokio::net::TcpSocket;
+use tokio::{io::AsyncWriteExt, net::TcpSocket};
 
 /// Address without a listener. The port stays bound until the process exits, so that no server of
 /// another test gets it.
@@ -90,6 +90,25 @@
     assert_eq!(server.served(), 30);
 }
 
+/// Guards against forwarding a response whose status HTTP does not allow as a final answer to the
+/// request.
+#[tokio::test]
+async fn can_reject_a_status_that_is_not_final() {
+    for status in ["000", "099", "101", "206", "304", "416", "600", "999"] {
+        let server = Scripted::start(move |_, mut conn| async move {
+            let Some(request) = conn.request().await else { return };
+            let text = encode_response(&request.id, "body").replacen("200", status, 1);
+            // The gateway may have closed the connection.
+            let _ = conn.stream.write_all(text.as_bytes()).await;
+        })
+        .await;
+        let gateway = Gateway::start_application(&[server.address]).await;
+        let response = gateway.call(Method::POST, "/s/svc/orders", "soap").await;
+        assert_eq!(response.status(), 502, "{status}");
+        assert_eq!(verdict(&response), "may_have_run", "{status}");
+    }
+}
+
 /// Guards against forwarding a truncated response as a complete one.
 #[tokio::test]
 async fn can_reject_a_truncated_response() {
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod status;
 pub mod tls;
 pub mod token;
 
