Stop: all requests are answered before the exit

Shown here with the real program: a request sent 2 s after SIGTERM on a kept connection, to a worker that takes longer than the grace time, went to the worker and was cut without an answer, also one that may not be repeated. While the handover of batches waited for the store the port stayed open for up to half of the grace time.

Cause: requests were taken whatever they could last, and closing the port waited for the handover.

stop::Schedule decides: the port closes on time; during a stop a request that may not be repeated is taken only if it times out before the exit, another one if its route's requests usually end before; others get 503 at once. What has not ended in time gets 504, or 503 if no worker had it.

--- a/components/entry/src/daemon/handler.rs
+++ b/components/entry/src/daemon/handler.rs
@@ -1,6 +1,6 @@
 //! Handlers of the ports for callers, the load balancer and metrics.
 
-use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::pending, marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use filbertsail_clock::Instant;
@@ -13,6 +13,7 @@
 use filbertsail_telemetry::{event::Line, metrics::CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use tokio::time::sleep;
 
 use crate::{
     access::{self, Authorization, Subject},
@@ -20,8 +21,9 @@
     config::{Config, Kind, Route},
     dialect::{Call, Caller, CallerKey, Dialect},
     foreign::RequestShare,
-    forward::{self, Job, attempt::strip_hop_by_hop, reply},
+    forward::{self, Job, Sent, attempt::strip_hop_by_hop, reply},
     shared::Shared,
+    stop::Expectation,
 };
 
 /// `Retry-After` while the configuration is not known yet.
@@ -42,6 +44,9 @@
 /// late by some tens of milliseconds.
 const ROW_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Reason of refusals and errors during a stop.
+const STOPPING: &str = "the VM stops";
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Handler of the callers' port.
@@ -56,7 +61,7 @@
         Self { calls, dialect: PhantomData }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn respond(&self, request: Request<Incoming>, sent: &Sent) -> Response<Body> {
         let shared = &self.calls.shared;
         let arrived = shared.now();
         let Some(config) = shared.config() else {
@@ -71,6 +76,9 @@
         // The key goes no further than its check.
         let key = std::mem::take(&mut caller.key);
         if call != Call::Route {
+            if matches!(call, Call::End { .. }) {
+                sent.set();
+            }
             return self.respond_to_call(call, &caller, &key, arrived).await;
         }
         let id = caller.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
@@ -131,6 +139,7 @@
                     _ => reply::refuse(reason, UNCONFIRMED_RETRY_AFTER),
                 };
             }
+            sent.set();
             let origin = Origin { host: &host, config: &config, authorization: &authorization };
             return self.calls.submit::<D>(batch, origin, &body).await;
         }
@@ -139,6 +148,22 @@
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        if let Some(schedule) = *shared.stop.borrow() {
+            let now = shared.now();
+            let request = Expectation {
+                may_repeat: route.kind == Kind::Idempotent
+                    || (route.kind == Kind::Stream && route.resumable),
+                deadline: deadline.unwrap_or(now.after(route.timeout)),
+                usual: shared.durations.usual(&route.name),
+            };
+            if !schedule.admits(request, now) {
+                Line::new("request_refused").with("id", &id).with("reason", STOPPING).info();
+                return reply::refuse(STOPPING, Duration::ZERO);
+            }
+            // The worker ends its work by then, too.
+            let left = schedule.answers_by.since(arrived);
+            caller.time_left = Some(caller.time_left.unwrap_or(left).min(left));
+        }
         let job = Job {
             method: head.method,
             path,
@@ -150,10 +175,14 @@
             key: authorization.key(),
             priority: authorization.priority(route),
             has_workspaces: authorization.has_workspaces(),
+            sent: sent.clone(),
         };
         let response = forward::forward::<D>(shared, route, job).await;
-        let took_s = shared.now().since(arrived).as_secs_f64();
-        shared.metrics.record_request(response.status().as_u16(), took_s);
+        let took = shared.now().since(arrived);
+        if route.kind != Kind::Stream && response.status().is_success() {
+            shared.durations.record(&route.name, took);
+        }
+        shared.metrics.record_request(response.status().as_u16(), took.as_secs_f64());
         response
     }
 
@@ -229,7 +258,19 @@
 
 impl<D: Dialect, S: Store> Handler for Ingress<D, S> {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
-        let mut response = self.respond(request).await;
+        let sent = Sent::default();
+        let mut response = tokio::select! {
+            biased;
+            response = self.respond(request, &sent) => response,
+            () = stop_ends(&self.calls.shared) => {
+                let may_have_run = sent.get();
+                Line::new("request_ended_by_stop").with("may_have_run", may_have_run).warn();
+                match may_have_run {
+                    true => reply::json(StatusCode::GATEWAY_TIMEOUT, STOPPING),
+                    false => reply::refuse(STOPPING, Duration::ZERO),
+                }
+            }
+        };
         if *self.calls.shared.stopping.borrow() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -237,6 +278,17 @@
     }
 }
 
+/// Completes when requests have to be answered because the process stops.
+async fn stop_ends(shared: &Shared) {
+    let mut stop = shared.stop.subscribe();
+    // The sender lives as long as the process.
+    let schedule = stop.wait_for(Option::is_some).await.ok().and_then(|schedule| *schedule);
+    match schedule {
+        Some(schedule) => sleep(schedule.answers_by.since(shared.now())).await,
+        None => pending().await,
+    }
+}
+
 /// When a request times out: at the end of the caller's time or of the route's timeout.
 fn deadline(
     arrived: Instant,
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -25,14 +25,10 @@
     follow,
     relay::{self, PEERS_TABLE, Peers, Relay, Tables},
     shared::{Identity, Shared, Times},
+    stop::Schedule,
     weights,
 };
 
-/// Time between reporting "not ready" and closing the callers' port. The load balancer checks once
-/// a second and needs two failures.
-const DRAIN_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the stop limit that is reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Limits of the callers' port before a configuration is known, and of the other ports.
 const DEFAULT_LIMITS: Limits = Limits {
     header_timeout: Duration::from_secs(5),
@@ -225,22 +221,27 @@
         let start = state.now();
         Line::new("stopping").with("vm", &state.identity.vm).info();
         state.stopping.send_replace(true);
-        let limit = state.times.stop_limit.saturating_sub(STOP_MARGIN);
+        let schedule = Schedule::new(start, state.times.stop_limit);
+        state.stop.send_replace(Some(schedule));
         let (done, handed_over) = oneshot::channel();
         // The task lives as long as the process, so the send cannot fail.
         let _ = task.send(task::Command::HandOver(done));
+        // A slow store must not keep the port open: requests would be taken that cannot end.
+        let port = async {
+            sleep(schedule.closes_at.since(state.now())).await;
+            closed.cancel();
+            ingress.await
+        };
         let drain = async {
             // Proceeds in the same way if the handover or the weights task has failed.
-            let _ = tokio::join!(handed_over, weights, sleep(DRAIN_TIME));
-            closed.cancel();
-            let _ = ingress.await;
+            let _ = tokio::join!(handed_over, weights, port);
             state.usage.close();
             if let Some(duties) = duties {
                 // A panic in a duty must not prevent the exit.
                 let _ = duties.await;
             }
         };
-        let finished = timeout(limit, drain).await.is_ok();
+        let finished = timeout(schedule.exits_at.since(start), drain).await.is_ok();
         ready_task.abort();
         peers_task.abort();
         Line::new("stopped")
--- a/components/entry/src/forward/attempt.rs
+++ b/components/entry/src/forward/attempt.rs
@@ -108,6 +108,7 @@
     let Some((entry, mut guard)) = Guard::start(shared, worker) else {
         return failed(Verdict::NotRun, "worker gone");
     };
+    job.sent.set();
     let mut trace = Trace::default();
     let exchange = exchange::<D>(shared, (worker, &entry), job, reuses_idle, time_left, &mut trace);
     let (result, was_frozen) = match running::deadline(limit, exchange).await {
--- a/components/entry/src/forward/mod.rs
+++ b/components/entry/src/forward/mod.rs
@@ -9,7 +9,13 @@
 pub mod reply;
 mod stream;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use filbertsail_clock::Instant;
@@ -62,6 +68,24 @@
     pub priority: u8,
     /// Whether the configuration has workspaces. Engines are then told the priority.
     pub has_workspaces: bool,
+    pub sent: Sent,
+}
+
+/// Whether a request may have run, cheap to clone; set before it is sent to a worker.
+#[derive(Clone, Debug, Default)]
+pub struct Sent(Arc<AtomicBool>);
+
+impl Sent {
+    /// Records that the request may run from now on.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the request may have run.
+    #[must_use]
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Job {
--- a/components/entry/src/forward/stream.rs
+++ b/components/entry/src/forward/stream.rs
@@ -125,6 +125,7 @@
         let Some(worker) = choose(shared, service, tried, route.resumable, now) else { break };
         tried.push(worker);
         let Some((entry, guard)) = Guard::start(shared, worker) else { continue };
+        job.sent.set();
         let may_retry = route.resumable && tried.len() < route.max_attempts as usize;
         let limit = if may_retry { time_left.min(HEAD_TIMEOUT) } else { time_left };
         let exchange = head::<D>(shared, (worker, &entry), job, last_event, time_left);
@@ -227,6 +228,10 @@
         let mut last_event = self.job.caller.last_event;
         loop {
             let end_of_stream = self.forward_stream::<D>(stream, &mut last_event).await;
+            if let StreamEnd::Complete = end_of_stream {
+                let took = self.shared.now().since(self.job.arrived);
+                self.shared.durations.record(&self.route.name, took);
+            }
             let StreamEnd::Broken(reason) = end_of_stream else { return };
             Line::new("stream_broken")
                 .with("id", self.job.id())
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod metrics;
 pub mod relay;
 pub mod shared;
+pub mod stop;
 pub mod weights;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -21,6 +21,7 @@
     fleet::{Fleet, Worker},
     foreign::{Budget, Requests},
     metrics::Metrics,
+    stop::{Durations, Schedule},
     weights::{Demand, Step, Target},
 };
 
@@ -129,6 +130,10 @@
     pub states_demand: Arc<watch::Sender<bool>>,
     /// Whether the process was asked to stop.
     pub stopping: Arc<watch::Sender<bool>>,
+    /// Times of the stop, once the process was asked to.
+    pub stop: Arc<watch::Sender<Option<Schedule>>>,
+    /// Usual durations of requests.
+    pub durations: Durations,
     /// Number of changes of the fleet; zero until the registry has been read.
     pub fleet_changed: Arc<watch::Sender<u64>>,
     fleet: Arc<Mutex<Fleet>>,
@@ -159,6 +164,8 @@
             runs_batches: Arc::new(watch::channel(false).0),
             states_demand: Arc::new(watch::channel(false).0),
             stopping: Arc::new(watch::channel(false).0),
+            stop: Arc::new(watch::channel(None).0),
+            durations: Durations::default(),
             fleet_changed: Arc::new(watch::channel(0).0),
             fleet: Arc::default(),
         })
