--- a/components/entry/src/channel/mod.rs
+++ b/components/entry/src/channel/mod.rs
@@ -263,7 +263,7 @@
                 trace.idle = None;
                 let mut link = self.connect(address).await?;
                 check_deadline()?;
-                let response = send_on(&mut link, request).await?;
+                let response = send_on(&mut link, *request).await?;
                 Ok((response, Channel { link, address, matching }))
             }
             Err(SendError::Failed(reason)) => Err(Fault::may_have_run(reason)),
@@ -294,7 +294,7 @@
         let reason = match running::timeout(SILENCE_LIMIT, send_on(&mut link, request)).await {
             Ok(Ok(response)) => return Ok((response, Channel { link, address, matching })),
             Ok(Err(SendError::Unsent(request))) => {
-                return self.send_on_new(address, request, matching).await;
+                return self.send_on_new(address, *request, matching).await;
             }
             Ok(Err(SendError::Failed(reason))) => reason,
             Err(_) => "no response".to_owned(),
@@ -413,7 +413,7 @@
 /// Why a request got no response head.
 enum SendError {
     /// The connection was already closed, and the request has not been written.
-    Unsent(Request<Body>),
+    Unsent(Box<Request<Body>>),
     /// The request may have been written.
     Failed(String),
 }
@@ -451,7 +451,7 @@
         biased;
         sent = link.sender.try_send_request(request) => {
             sent.map_err(|mut error| match error.take_message() {
-                Some(request) => SendError::Unsent(request),
+                Some(request) => SendError::Unsent(Box::new(request)),
                 None => SendError::Failed(error.into_error().to_string()),
             })
         }
