--- a/review/stand-4/forgotten_leaver.rs
+++ b/review/stand-4/forgotten_leaver.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Place, Verdict,
-    portal::Portal,
+    portal::{Portal, State},
     store::Store,
     vm::{Vm, config, request_portal},
 };
@@ -49,7 +49,7 @@
             Portal::start(&format!("i-{host}"), zone, place.address(host, 8080), record)
         })
         .collect::<io::Result<_>>()?;
-    portals.iter().for_each(|portal| store.put("servers", &portal.id, &portal.entry()));
+    portals.iter().for_each(|portal| store.put("servers", &portal.id, &portal.entry(State::Ready)));
     let vm = Vm::start(
         &place.program,
         &place.folder,
@@ -66,7 +66,7 @@
         beats += 1;
         for portal in &portals {
             let is_lost = place.has_trouble && beats == BEATS && portal.id == leaver.id;
-            let entry = portal.entry();
+            let entry = portal.entry(State::Ready);
             if !is_lost {
                 store.put("servers", &portal.id, &entry);
                 continue;
@@ -105,7 +105,7 @@
         if beats_due(left, beats) {
             beats += 1;
             for portal in &portals[1..] {
-                store.put("servers", &portal.id, &portal.entry());
+                store.put("servers", &portal.id, &portal.entry(State::Ready));
             }
         }
     }
--- a/review/stand-4/main.rs
+++ b/review/stand-4/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod portal;
 mod record;
+mod stale_entry;
 mod store;
 mod vm;
 mod worker;
@@ -66,6 +67,7 @@
     place.record.line(format!("case {case}, disruption: {}", place.has_trouble));
     let verdict = match case.as_str() {
         "frozen-acceptor" => frozen_acceptor::run(&place),
+        "stale-entry" => stale_entry::run(&place),
         "forgotten-leaver" => forgotten_leaver::run(&place),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/stand-4/portal.rs
+++ b/review/stand-4/portal.rs
@@ -21,6 +21,13 @@
 /// Requests that run at once.
 const SLOTS: usize = 6;
 
+/// State in an entry.
+#[derive(Clone, Copy)]
+pub enum State {
+    Ready,
+    Draining,
+}
+
 /// Worker; clones share its state.
 #[derive(Clone)]
 pub struct Portal {
@@ -71,11 +78,15 @@
     }
 
     /// Next entry in the registry.
-    pub fn entry(&self) -> String {
+    pub fn entry(&self, state: State) -> String {
+        let state = match state {
+            State::Ready => "ready",
+            State::Draining => "draining",
+        };
         let sequence = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
         format!(
             "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":{SLOTS},\
-             \"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+             \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             quote(PORTAL_SERVICE),
             self.address,
             quote(&self.zone),
