--- a/review/16/run.sh
+++ b/review/16/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs the case. Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out.
-case_name=forgotten-leaver
+case_name=stale-entry
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 program=target/release/filbertsail-entry
