Add review case 15: items of an ended step run after a cut

Requests to an engine that a machine gives up during a cut are closed, not reset, so that their bytes arrive after it.

--- a/review/build-4.sh
+++ b/review/build-4.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of cases 14 and 15 from the standard library alone.
+# Builds the stand-ins of cases 14 to 17 from the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-4
--- a/review/stand-4/main.rs
+++ b/review/stand-4/main.rs
@@ -1,4 +1,4 @@
-//! Cases 14 and 15: starts the project's program on loopback addresses beside stand-ins of store,
+//! Cases 14 to 17: starts the project's program on loopback addresses beside stand-ins of store,
 //! engines and trainer, and checks one rule.
 //!
 //! Arguments: case, program, folder of the record, folder for settings and logs. Exits with 0 if the
@@ -8,7 +8,9 @@
 mod frozen_acceptor;
 mod http;
 mod json;
+mod late_items;
 mod portal;
+mod proxy;
 mod record;
 mod stale_entry;
 mod store;
@@ -67,6 +69,7 @@
     place.record.line(format!("case {case}, disruption: {}", place.has_trouble));
     let verdict = match case.as_str() {
         "frozen-acceptor" => frozen_acceptor::run(&place),
+        "late-items" => late_items::run(&place),
         "stale-entry" => stale_entry::run(&place),
         "forgotten-leaver" => forgotten_leaver::run(&place),
         _ => Err(io::Error::other("unknown case")),
--- a/review/stand-4/stale_entry.rs
+++ b/review/stand-4/stale_entry.rs
@@ -15,6 +15,7 @@
 use crate::{
     Place, Verdict,
     portal::{Portal, State},
+    proxy::RETRANSMISSIONS_MS,
     store::Store,
     vm::{PortalRequest, Vm, config, request_portal},
 };
@@ -27,8 +28,6 @@
 const ZONES: [&str; 5] = ["perth-a", "perth-b", "perth-c", "perth-b", "perth-c"];
 /// Duration of the partition; the site's longest is 10 s.
 const PARTITION: Duration = Duration::from_millis(8_500);
-/// Times after the first transmission at which the kernel sends unacknowledged bytes again.
-const RETRANSMISSIONS_MS: [u64; 6] = [200, 600, 1_400, 3_000, 6_200, 12_600];
 /// Time from the end of the partition until the worker reports that it drains.
 const LEAVE_DELAY: Duration = Duration::from_millis(400);
 /// Time for which it serves after that report.
--- a/review/stand-4/vm.rs
+++ b/review/stand-4/vm.rs
@@ -168,6 +168,11 @@
         )
     }
 
+    /// Number of items.
+    pub fn size(&self) -> usize {
+        self.groups * self.group_size
+    }
+
     fn item(&self, index: usize) -> String {
         format!("{}{index:04x}", self.id)
     }
--- a/review/stand-4/worker.rs
+++ b/review/stand-4/worker.rs
@@ -38,12 +38,33 @@
     beats: u64,
 }
 
+/// When an engine finds out that the caller of a run has left.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// Before each event.
+    Looks,
+    /// When an event can't be sent.
+    LooksLate,
+}
+
+/// Run of an item, from its first event on.
+#[derive(Clone)]
+pub struct Run {
+    pub item: String,
+    pub engine: String,
+    /// Time of the first event since the start of the record.
+    pub began_ms: u64,
+}
+
 /// Engine; clones share its state.
 #[derive(Clone)]
 pub struct Engine {
     id: String,
     zone: String,
+    /// Address under which it registers itself.
     address: SocketAddr,
+    manner: Manner,
+    runs: Arc<Mutex<Vec<Run>>>,
     born_ms: u64,
     state: Arc<Mutex<State>>,
     record: Record,
@@ -57,18 +78,33 @@
         address: SocketAddr,
         store: &Store,
         record: &Record,
+    ) -> io::Result<Self> {
+        Self::start_behind(id, zone, address, address, Manner::Looks, store, record)
+    }
+
+    /// Starts an engine that listens on one address and is reached under another.
+    pub fn start_behind(
+        id: &str,
+        zone: &str,
+        listen: SocketAddr,
+        address: SocketAddr,
+        manner: Manner,
+        store: &Store,
+        record: &Record,
     ) -> io::Result<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
         let engine = Self {
             id: id.to_owned(),
             zone: zone.to_owned(),
             address,
+            manner,
+            runs: Arc::default(),
             born_ms: born.as_millis() as u64,
             state: Arc::new(Mutex::new(State { version: 1, ..State::default() })),
             record: record.clone(),
         };
         let server = engine.clone();
-        http::serve(TcpListener::bind(address)?, move |request, stream| {
+        http::serve(TcpListener::bind(listen)?, move |request, stream| {
             server.handle(&request, stream)
         });
         let (beating, store) = (engine.clone(), store.clone());
@@ -81,6 +117,16 @@
         Ok(engine)
     }
 
+    /// Runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+
+    /// Whether the run of a caller goes on.
+    fn goes_on(&self, stream: &TcpStream) -> bool {
+        self.manner == Manner::LooksLate || !is_closed(stream)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
@@ -223,9 +269,14 @@
         let mut result = stream.write_all(head.as_bytes());
         for event in last.unwrap_or(0) + 1..=events {
             sleep(EVENT_INTERVAL);
-            if result.is_err() || is_closed(stream) {
+            if result.is_err() || !self.goes_on(stream) {
                 break;
             }
+            if event == last.unwrap_or(0) + 1 {
+                let (item, engine) = (item.to_owned(), self.id.clone());
+                let run = Run { item, engine, began_ms: self.record.now_ms() };
+                self.runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(run);
+            }
             let text = format!("id: {event}\ndata: {item}.{event}\n\n");
             result = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
         }
