Store clock: late responses do not set it back

Cause: a VM took the store's clock from the response to its feed that it read last, with the time of reading. A response of before the freeze is read after it, so that the clock was behind by the length of the freeze until the next response. The batch got a time of acceptance in the past.

Change: clock::remote::Clock keeps bounds of the store's clock from the times at which a call was sent and its response was read, for all calls (timed::Timed). Stamps use the upper bound and ages the lower one. Related paths: silence of owners counts up to the time at which the store made the newest page of their own feed; heartbeats and the end of an outage have the time of the store's response; usage reports use the same clock, whose own estimate is removed; instants begin a year before the boot, so that a VM that has just booted does not keep what it takes over for too long.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Boot`] reads `CLOCK_BOOTTIME`, which, unlike `std::time::Instant`, includes the time that the
 //! VM is suspended: a lease holder must notice after a resume that its lease has expired.
 
+pub mod remote;
 pub mod running;
 
 use std::{
@@ -67,6 +68,10 @@
     fn now(&self) -> Instant;
 }
 
+/// Distance from the origin of instants to the boot of the VM: ages of what is older than the VM can
+/// be stated.
+const BOOT_OFFSET_SECONDS: u64 = 366 * 24 * 3_600;
+
 /// System clock that includes the time that the VM is suspended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Boot;
@@ -76,7 +81,7 @@
         let time = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
         let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
-        Instant(seconds * 1_000_000 + nanos / 1_000)
+        Instant((seconds + BOOT_OFFSET_SECONDS) * 1_000_000 + nanos / 1_000)
     }
 }
 
--- a/components/entry/src/batch/calls/submit.rs
+++ b/components/entry/src/batch/calls/submit.rs
@@ -6,11 +6,11 @@
 use filbertsail_clock::Instant;
 use filbertsail_http::Body;
 use filbertsail_ports::store::{
-    Fault, Key, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Store, Transaction,
+    Fault, Key, MAX_ENTRIES, MAX_TRANSACTION_BYTES, Range, Store, Transaction,
 };
 use filbertsail_telemetry::event::Line;
 use http::{Response, StatusCode};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{Calls, STORE_RETRY_DELAY};
 use crate::{
@@ -32,6 +32,12 @@
 /// already.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Error of a time stamp from which the store is asked for its clock first. Items are given up after
+/// seconds, and a VM that makes no other calls loses a millisecond of exactness each second.
+const MAX_STAMP_ERROR_MS: u64 = 250;
+/// Timeout of that call, several times the usual latency of the store.
+const STAMP_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Delay before the chunks of a submission that was not accepted are deleted. A commit without a
 /// reply may still take effect seconds later.
 const DISCARD_DELAY: Duration = Duration::from_secs(30);
@@ -129,10 +135,16 @@
         }
         let start = self.shared.now();
         match self.accept(batch, origin, submission, start).await {
-            Ok(()) => {
-                let took = self.shared.now().since(start).as_millis();
+            Ok(accepted_ms) => {
+                let now = self.shared.now();
+                let link = *self.shared.link.borrow();
                 self.shared.metrics.count_batch_event("accepted");
-                Line::new("batch_accepted").with("batch", batch).with("took_ms", took).info();
+                Line::new("batch_accepted")
+                    .with("batch", batch)
+                    .with("took_ms", now.since(start).as_millis())
+                    .with("accepted_ms", accepted_ms)
+                    .with("age_ms", link.age(accepted_ms, now).as_millis())
+                    .info();
                 status(StatusCode::ACCEPTED)
             }
             Err(Refusal::Foreign) => {
@@ -152,13 +164,15 @@
         }
     }
 
+    /// Stores a submission and starts it here if no other VM runs its model; returns its time stamp by
+    /// the store's clock in milliseconds.
     async fn accept(
         &self,
         batch: &str,
         origin: Origin<'_>,
         submission: Submission,
         start: Instant,
-    ) -> Result<(), Refusal> {
+    ) -> Result<u64, Refusal> {
         let local_owner = Owner {
             vm: self.shared.identity.vm.clone(),
             incarnation: self.shared.identity.incarnation,
@@ -169,6 +183,7 @@
         let owner = active_owner.unwrap_or_else(|| local_owner.clone());
         let writer = Writer { vm: local_owner.vm.clone(), call: rand::random() };
         let is_local = owner == local_owner;
+        let accepted_ms = self.stamp_ms(start).await;
         let meta = Meta {
             owner: Some(owner),
             epoch: 1,
@@ -179,7 +194,7 @@
             model: submission.model.clone(),
             lag: self.version_lag(&submission),
             groups: submission.groups.iter().map(|group| rows::hash32(group)).collect(),
-            accepted_ms: self.shared.link.borrow().store_ms(start),
+            accepted_ms,
             ended: false,
             complete: submission.items.is_empty(),
             config_version: origin.config.version,
@@ -195,7 +210,7 @@
             self.store_submission(batch, &meta, origin.authorization, chunks, start),
             observations
         );
-        let Some(row_version) = committed?.filter(|_| is_local) else { return Ok(()) };
+        let Some(row_version) = committed?.filter(|_| is_local) else { return Ok(accepted_ms) };
         let acquisition = Acquisition {
             batch: batch.to_owned(),
             meta,
@@ -207,7 +222,19 @@
         };
         // The receiver lives as long as the process.
         let _ = self.task.send(Command::Acquired(Box::new(acquisition)));
-        Ok(())
+        Ok(accepted_ms)
+    }
+
+    /// Time stamp of a submission that arrived at `start`, by the store's clock. Items must not be
+    /// given up before their time limit, so that it is not earlier than the true time.
+    async fn stamp_ms(&self, start: Instant) -> u64 {
+        let link = *self.shared.link.borrow();
+        if link.stamp_ms(start) > link.store_ms(start) + MAX_STAMP_ERROR_MS {
+            // Any response tells the clock, and the stamp is only less exact without one.
+            let range = Range { limit: 1, ..rows::loads_range() };
+            let _ = timeout(STAMP_TIMEOUT, self.store.range(range)).await;
+        }
+        self.shared.link.borrow().stamp_ms(start)
     }
 
     /// Stores a submission; returns the version of the owner's row, or none if the batch was
--- a/components/entry/src/batch/task/mod.rs
+++ b/components/entry/src/batch/task/mod.rs
@@ -134,6 +134,8 @@
     /// Engines reserved in the last round of dispatch.
     reservations: Vec<Reservation>,
     heartbeat_at: Option<Instant>,
+    /// Time as of which the rows of the `batches` table are known.
+    rows_known_at: Option<Instant>,
     /// Whether a batch has started since the last dispatch of items. The heartbeat follows the
     /// dispatch, so that the observations beside it count the items of the new step. Other owners
     /// would send to the same workers until the next one.
@@ -172,6 +174,7 @@
         departures: Departures::default(),
         reservations: Vec::new(),
         heartbeat_at: None,
+        rows_known_at: None,
         must_announce: false,
         ticked_at: Instant::default(),
         flushed_at: Instant::default(),
--- a/components/entry/src/batch/task/ownership.rs
+++ b/components/entry/src/batch/task/ownership.rs
@@ -48,7 +48,7 @@
                 .info();
             return self.registry.release_claim(&batch);
         };
-        let accepted_at = self.shared.link.borrow().local_time(meta.accepted_ms, now);
+        let accepted_at = now.before(self.shared.link.borrow().age(meta.accepted_ms, now));
         self.shared.metrics.count_batch_event("owned");
         Line::new("batch_owned")
             .with("batch", &batch)
@@ -62,6 +62,7 @@
             .with("wanted", submission.wanted)
             .with("listed", results.len())
             .with("partials", partials.len())
+            .with("accepted_ms", meta.accepted_ms)
             .with("age_ms", now.since(accepted_at).as_millis())
             .info();
         let config_version = self.shared.config().map_or(0, |config| config.version);
@@ -123,10 +124,14 @@
 
     pub(super) fn rows_changed(&mut self, update: Update) {
         let now = self.shared.now();
-        let (Update::Snapshot(rows, _) | Update::Changes(rows)) = update;
+        let (Update::Snapshot(rows, known_at) | Update::Changes(rows, known_at)) = update;
+        self.rows_known_at = Some(known_at);
+        if rows.is_empty() {
+            return;
+        }
         for row in rows {
             if row.part == rows::VM_PART {
-                self.heartbeat_row_changed(&row, now);
+                self.heartbeat_row_changed(&row, known_at);
             } else {
                 self.batch_row_changed(&row, now);
             }
@@ -141,7 +146,8 @@
         self.claim_due_batches(now);
     }
 
-    pub(super) fn heartbeat_row_changed(&mut self, row: &Row, now: Instant) {
+    /// Records a heartbeat that the store had at `known_at`.
+    pub(super) fn heartbeat_row_changed(&mut self, row: &Row, known_at: Instant) {
         let Some(value) = &row.value else { return self.registry.forget_vm(&row.key) };
         let heartbeat: Heartbeat = match rows::decode(value) {
             Ok(heartbeat) => heartbeat,
@@ -150,8 +156,8 @@
                 return;
             }
         };
-        self.registry.record_heartbeat(&row.key, heartbeat.incarnation, row.version, now);
-        self.directory.record_heartbeat(&row.key, heartbeat.incarnation, now);
+        self.registry.record_heartbeat(&row.key, heartbeat.incarnation, row.version, known_at);
+        self.directory.record_heartbeat(&row.key, heartbeat.incarnation, known_at);
     }
 
     /// Passes worker observations of other VMs to the fleet.
@@ -268,12 +274,12 @@
             return;
         }
         let link = *self.shared.link.borrow();
-        let (None, Some(since), Some((_, answered))) = (link.lost, link.regained, link.clock)
+        let (None, Some(since), Some(known_at)) = (link.lost, link.regained, self.rows_known_at)
         else {
             return;
         };
         let (keys, vms) = (&self.execution_keys, self.peers.len() + 1);
-        let steady = (since, answered);
+        let steady = (since, known_at);
         let targets =
             self.registry.claim_targets(steady, vms, now, |batch| keys.contains_key(batch));
         for target in &targets {
--- a/components/entry/src/daemon/mod.rs
+++ b/components/entry/src/daemon/mod.rs
@@ -26,6 +26,7 @@
     relay::{self, PEERS_TABLE, Peers, Relay, Tables},
     shared::{Identity, Shared, Times},
     stop::Schedule,
+    timed::Timed,
     weights,
 };
 
@@ -164,7 +165,7 @@
     let peers = Peers::new(&shared.identity.vm);
     let tables = Tables(relayed_tables::<D>());
     let direct = store;
-    let store = Relay::new(direct.clone(), peers.clone(), tables);
+    let store = Timed::new(Relay::new(direct.clone(), peers.clone(), tables), shared.clone());
     let peers_task = relay::run(
         shared.clone(),
         direct,
@@ -204,7 +205,7 @@
         ingress,
         None,
         follow_limits(&shared),
-        Ingress::<D, Relay<S>>::new(calls),
+        Ingress::<D, Timed<Relay<S>>>::new(calls),
         closed.clone(),
     ));
     serve_metrics(&shared, settings.metrics).await;
--- a/components/entry/src/duty/usage/clock.rs
+++ b/components/entry/src/duty/usage/clock.rs
@@ -5,10 +5,10 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use filbertsail_clock::Instant;
+use filbertsail_clock::{Instant, remote};
 use filbertsail_ports::store::{Key, Store, Transaction};
 use filbertsail_telemetry::event::Line;
-use filbertsail_usage::{Agreement, Anchor, Proposal};
+use filbertsail_usage::{Agreement, Proposal};
 use tokio::time::sleep;
 
 use super::{
@@ -41,12 +41,12 @@
 
 #[derive(Debug, Default)]
 struct State {
-    anchor: Anchor,
     agreement: Option<Agreement>,
     /// Restarts of the store's clock before the agreement was read.
     restarts: u64,
-    /// Store's clock at the first reading after the start or the last restart of that clock.
-    started_ms: Option<u64>,
+    /// Store's clock when it was first read after the start or after its last restart, and how often
+    /// it had restarted before.
+    started: Option<(u64, u64)>,
 }
 
 /// Agreed time, cheap to clone.
@@ -72,39 +72,43 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Store's clock at `at` after the newest reading was recorded; nothing before the first one.
+    /// Store's clock as last known.
+    fn store_clock(&self) -> remote::Clock {
+        self.shared.link.borrow().clock
+    }
+
+    /// Store's clock at `at`; nothing before it was first read.
     fn store_ms(&self, at: Instant) -> Option<i64> {
-        let reading = self.shared.link.borrow().clock;
+        let clock = self.store_clock();
+        let store_ms = clock.ms(at)?;
         let mut state = self.lock();
-        if let Some((store_ms, read_at)) = reading {
-            let restarts = state.anchor.restarts();
-            state.anchor.observe(store_ms, read_at);
-            if state.anchor.restarts() > restarts {
+        if state.started.is_none_or(|(_, restarts)| restarts != clock.restarts()) {
+            if state.started.is_some() {
                 Line::new("usage_clock_restarted").with("store_ms", store_ms).warn();
-                state.started_ms = None;
             }
-            state.started_ms.get_or_insert(store_ms);
+            state.started = Some((u64::try_from(store_ms).unwrap_or(0), clock.restarts()));
         }
-        state.anchor.store_ms(at)
+        Some(store_ms)
     }
 
-    /// How often the store's clock has restarted according to the readings recorded.
+    /// How often the store's clock has restarted.
     pub fn restarts(&self) -> u64 {
-        self.lock().anchor.restarts()
+        self.store_clock().restarts()
     }
 
     /// Agreement as last read, if it is still valid.
     pub fn agreement(&self, now: Instant) -> Option<Agreement> {
         let store_ms = self.store_ms(now)?;
+        let restarts = self.restarts();
         let state = self.lock();
-        let agreement = state.agreement.filter(|_| state.restarts == state.anchor.restarts())?;
+        let agreement = state.agreement.filter(|_| state.restarts == restarts)?;
         agreement.is_valid(store_ms).then_some(agreement)
     }
 
     /// Function from the local to the true time; nothing without an agreement.
     pub fn mapping(&self, now: Instant) -> Option<impl Fn(Instant) -> i64 + use<S>> {
-        let (agreement, anchor) = (self.agreement(now)?, self.lock().anchor);
-        Some(move |at| anchor.store_ms(at).unwrap_or_default() + agreement.offset_ms)
+        let (agreement, clock) = (self.agreement(now)?, self.store_clock());
+        Some(move |at| clock.ms(at).unwrap_or_default() + agreement.offset_ms)
     }
 
     /// Proposes an offset and reads the agreement again and again; never returns.
@@ -117,8 +121,8 @@
             let now = self.shared.now();
             let store_ms = self.store_ms(now);
             let is_lost = self.shared.link.borrow().lost.is_some();
-            if self.lock().anchor.restarts() > restarts {
-                restarts = self.lock().anchor.restarts();
+            if self.restarts() > restarts {
+                restarts = self.restarts();
                 (propose_at, read_at) = (now, now);
             }
             if let (Some(store_ms), false) = (store_ms, is_lost) {
@@ -144,8 +148,8 @@
 
     async fn propose(&self, store_ms: i64) -> bool {
         let now = self.shared.now();
-        let started_ms = self.lock().started_ms;
-        let (Some(store_now), Some(started_ms)) = (self.store_ms(now), started_ms) else {
+        let (Some(store_now), Some((started_ms, _))) = (self.store_ms(now), self.lock().started)
+        else {
             return false;
         };
         let at_ms = u64::try_from(store_ms).unwrap_or(0);
@@ -161,8 +165,9 @@
     }
 
     fn set(&self, agreement: Option<Agreement>) {
+        let restarts = self.restarts();
         let mut state = self.lock();
-        (state.agreement, state.restarts) = (agreement, state.anchor.restarts());
+        (state.agreement, state.restarts) = (agreement, restarts);
     }
 
     /// Agrees on an offset, or confirms the present one, for all VMs; only the holder of the duty
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -32,8 +32,9 @@
 pub enum Update {
     /// All rows, read after the given time; rows that are missing here have been deleted.
     Snapshot(Vec<Row>, Instant),
-    /// Changed and deleted rows.
-    Changes(Vec<Row>),
+    /// Changed and deleted rows, and the time as of which they are complete. There are none if the
+    /// wait for a change ended without one.
+    Changes(Vec<Row>, Instant),
 }
 
 /// Table to follow.
@@ -65,7 +66,7 @@
         let sent_at = shared.now();
         let mut version = match snapshot(&store, &table).await {
             Ok((rows, page)) => {
-                record_success(&shared, &table, &page);
+                record_success(&shared, &table, answer_time(&shared, &page, sent_at));
                 on_update(Update::Snapshot(rows, sent_at));
                 page.version
             }
@@ -76,14 +77,17 @@
         };
         let mut wait = table.wait;
         loop {
+            let sent_at = shared.now();
             match store.changes(table.name, version, wait).await {
                 Ok(page) => {
                     backoff = RETRY_DELAY;
                     wait = table.wait;
-                    record_success(&shared, &table, &page);
+                    let answered_at = answer_time(&shared, &page, sent_at);
+                    record_success(&shared, &table, answered_at);
                     version = page.version.max(version);
-                    if !page.rows.is_empty() {
-                        on_update(Update::Changes(page.rows));
+                    let has_changes = !page.rows.is_empty();
+                    on_update(Update::Changes(page.rows, answered_at));
+                    if has_changes {
                         let is_busy = *shared.runs_batches.borrow();
                         sleep(if is_busy { table.busy_delay } else { table.idle_delay }).await;
                     }
@@ -133,22 +137,27 @@
     Ok((rows, first.unwrap_or_default()))
 }
 
-fn record_success(shared: &Shared, table: &Table, page: &Page) {
+/// Local time at which the store made a response to a call sent at `sent_at`. The response may have
+/// waited since, in a VM that was frozen.
+fn answer_time(shared: &Shared, page: &Page, sent_at: Instant) -> Instant {
+    let now = shared.now();
+    shared.link.borrow().local_time(page.now_ms, now).max(sent_at)
+}
+
+fn record_success(shared: &Shared, table: &Table, answered_at: Instant) {
     if !table.tracks_outages {
         return;
     }
-    let now = shared.now();
     shared.link.send_if_modified(|link| {
-        link.clock = Some((page.now_ms, now));
         let lost = link.lost.take();
         if let Some(lost) = lost {
-            link.returned = Some(now);
-            let outage_ms = now.since(lost).as_millis();
+            link.returned = Some(answered_at);
+            let outage_ms = answered_at.since(lost).as_millis();
             shared.metrics.count_store_change("regained");
             Line::new("store_regained").with("away_ms", outage_ms).info();
         }
         if lost.is_some() || link.regained.is_none() {
-            link.regained = Some(now);
+            link.regained = Some(answered_at);
             return true;
         }
         false
--- a/components/entry/src/follow/operator.rs
+++ b/components/entry/src/follow/operator.rs
@@ -39,7 +39,7 @@
             let (rows, sent_at) = match update {
                 Update::Snapshot(rows, sent_at) => (rows, Some(sent_at)),
                 // A change was made at an unknown time before its delivery.
-                Update::Changes(rows) => (rows, None),
+                Update::Changes(rows, _) => (rows, None),
             };
             for row in &rows {
                 apply_operator_row::<D>(&state, row, sent_at).await;
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -50,7 +50,8 @@
             }
             rows.iter().for_each(|row| apply_entry::<D>(shared, row));
         }
-        Update::Changes(rows) => {
+        Update::Changes(rows, _) if rows.is_empty() => return,
+        Update::Changes(rows, _) => {
             for row in &rows {
                 match row.value {
                     Some(_) => apply_entry::<D>(shared, row),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod relay;
 pub mod shared;
 pub mod stop;
+pub mod timed;
 pub mod weights;
--- a/components/entry/src/relay/peers.rs
+++ b/components/entry/src/relay/peers.rs
@@ -330,7 +330,7 @@
     let clock = shared.clone();
     let deletion_store = store.clone();
     follow::follow(shared, store, table, move |update| {
-        let (Update::Snapshot(rows, _) | Update::Changes(rows)) = update;
+        let (Update::Snapshot(rows, _) | Update::Changes(rows, _)) = update;
         let now = clock.now();
         for row in rows.iter().filter(|row| row.key != SECRET_KEY && row.key != hello.name) {
             peers.apply_row(&key, &hello, row, now);
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use filbertsail_clock::{Boot, Instant, Source};
+use filbertsail_clock::{Boot, Instant, Source, remote};
 use filbertsail_collections::{HashMap, arena::Key};
 use filbertsail_telemetry::event::Line;
 use tokio::sync::watch;
@@ -63,15 +63,28 @@
     pub regained: Option<Instant>,
     /// End of the last outage; absent before the first one.
     pub returned: Option<Instant>,
-    /// Monotonic clock of the store in milliseconds, and the local time at which it was read.
-    pub clock: Option<(u64, Instant)>,
+    /// Monotonic clock of the store.
+    pub clock: remote::Clock,
 }
 
 impl Link {
     /// Monotonic clock of the store at `now`, in milliseconds; zero before the first contact.
     #[must_use]
     pub fn store_ms(&self, now: Instant) -> u64 {
-        self.clock.map_or(0, |(ms, at)| ms + millis(now.since(at)))
+        unsigned(self.clock.ms(now))
+    }
+
+    /// Time stamp in milliseconds of the store's clock for what happens at `now`. It is not earlier
+    /// than the true time, so that nothing ends before its time limit; zero before the first contact.
+    #[must_use]
+    pub fn stamp_ms(&self, now: Instant) -> u64 {
+        unsigned(self.clock.latest_ms(now))
+    }
+
+    /// Time that has passed for certain since the time stamp `ms` of the store's clock.
+    #[must_use]
+    pub fn age(&self, ms: u64, now: Instant) -> Duration {
+        Duration::from_millis(unsigned(self.clock.earliest_ms(now)).saturating_sub(ms))
     }
 
     /// Local time at which the store's clock showed `ms`.
@@ -88,6 +101,11 @@
     }
 }
 
+/// Time of the store's clock; zero if it is unknown or before the clock's start.
+fn unsigned(ms: Option<i64>) -> u64 {
+    ms.and_then(|ms| u64::try_from(ms).ok()).unwrap_or(0)
+}
+
 /// Converts to whole milliseconds; saturates.
 #[must_use]
 pub fn millis(duration: Duration) -> u64 {
--- a/components/entry/tests/scaling.rs
+++ b/components/entry/tests/scaling.rs
@@ -202,7 +202,15 @@
 #[test]
 fn can_read_times_of_an_earlier_run_of_the_store() {
     let now = filbertsail_clock::Instant::from_millis(500_000);
-    let link = |ms| Link { clock: Some((ms, now)), ..Link::default() };
+    let link = |ms| {
+        let mut link = Link::default();
+        link.clock.record(filbertsail_clock::remote::Reading {
+            ms,
+            sent_at: now,
+            received_at: now,
+        });
+        link
+    };
     let row = Row { refused_at: Some(now), ..Row::adopted(3).with_order(4, now) };
     let value = encode_order(&row, 1, &link(90_000), now);
     assert_eq!(decode_order(&value, &link(90_000), now).unwrap(), row);
--- a/components/entry/tests/usage.rs
+++ b/components/entry/tests/usage.rs
@@ -8,6 +8,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use filbertsail_clock::remote::Reading;
 use filbertsail_entry::{
     duty::{self, Context, Kind, LEASE_TABLE, Settings, UsageTimes},
     relay::Peers,
@@ -52,11 +53,12 @@
             to: String::new(),
             limit: 1,
         };
+        let sent_at = shared.now();
         let page = store.range(range).await;
         let now = shared.now();
         shared.link.send_modify(|link| match page {
             Ok(page) => {
-                link.clock = Some((page.now_ms, now));
+                link.clock.record(Reading { ms: page.now_ms, sent_at, received_at: now });
                 link.regained.get_or_insert(now);
                 if link.lost.take().is_some() {
                     link.returned = Some(now);
--- a/components/ports/src/store/mod.rs
+++ b/components/ports/src/store/mod.rs
@@ -63,7 +63,7 @@
     pub has_more: bool,
     /// Version of the store at the time of the read.
     pub version: u64,
-    /// Monotonic clock of the store in milliseconds.
+    /// Monotonic clock of the store in milliseconds; 0 if the response does not state it.
     pub now_ms: u64,
 }
 
@@ -72,7 +72,7 @@
 pub struct Commit {
     /// Version of the rows written.
     pub version: u64,
-    /// Monotonic clock of the store in milliseconds.
+    /// Monotonic clock of the store in milliseconds; 0 if the response does not state it.
     pub now_ms: u64,
 }
 
--- a/components/usage/src/lib.rs
+++ b/components/usage/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod window;
 
 pub use counter::Counter;
-pub use offset::{Agreement, Anchor, Proposal, Schedule};
+pub use offset::{Agreement, Proposal, Schedule};
 pub use pace::Pace;
 pub use report::Report;
 pub use window::Window;
--- a/components/usage/src/offset/mod.rs
+++ b/components/usage/src/offset/mod.rs
@@ -33,10 +33,6 @@
 const MAX_SLEW_PPM: u64 = 100;
 /// Difference that is not corrected: reading the clocks is no more exact.
 const DEAD_BAND_MS: i64 = 10;
-/// Age from which a reading of the store's clock is replaced by a newer one that was slower: at 50
-/// parts per million the clocks are 3 ms apart by then.
-const MAX_READING_AGE: Duration = Duration::from_secs(60);
-
 /// Time between two attempts to agree.
 const AGREE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -175,59 +171,6 @@
     }
 }
 
-/// Reading of the store's clock by which a VM tells the store's time without a call.
-///
-/// Of the readings of a minute, the one with the shortest delay counts: a response that is late by
-/// half a second would move requests to the wrong window. A restart of the store's clock is assumed
-/// after two readings that are both far behind, since one alone may have waited in a frozen VM.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Anchor {
-    reading: Option<(u64, Instant)>,
-    suspect: Option<(u64, Instant)>,
-    restarts: u64,
-}
-
-impl Anchor {
-    /// Records that the store's clock showed `store_ms` in a response that arrived at `at`.
-    pub fn observe(&mut self, store_ms: u64, at: Instant) {
-        let Some((_, read_at)) = self.reading else {
-            self.reading = Some((store_ms, at));
-            return;
-        };
-        let ahead_ms = signed(store_ms) - self.store_ms(at).unwrap_or_default();
-        if ahead_ms < -RESTART_MS {
-            match self.suspect {
-                // The same response was seen again.
-                Some((suspect, _)) if suspect == store_ms => {}
-                None => self.suspect = Some((store_ms, at)),
-                Some(_) => {
-                    (self.reading, self.suspect) = (Some((store_ms, at)), None);
-                    self.restarts += 1;
-                }
-            }
-            return;
-        }
-        self.suspect = None;
-        if ahead_ms >= 0 || at.since(read_at) >= MAX_READING_AGE {
-            self.reading = Some((store_ms, at));
-        }
-    }
-
-    /// Store's clock at the local time `at`; nothing before the first reading.
-    #[must_use]
-    pub fn store_ms(&self, at: Instant) -> Option<i64> {
-        let (store_ms, read_at) = self.reading?;
-        let millis = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
-        Some(signed(store_ms) + millis(at.since(read_at)) - millis(read_at.since(at)))
-    }
-
-    /// How often the store's clock has restarted.
-    #[must_use]
-    pub const fn restarts(&self) -> u64 {
-        self.restarts
-    }
-}
-
 fn signed(ms: u64) -> i64 {
     i64::try_from(ms).unwrap_or(i64::MAX)
 }
--- a/components/usage/tests/offset.rs
+++ b/components/usage/tests/offset.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertsail_clock::Instant;
-use filbertsail_usage::{Agreement, Anchor, Proposal, Schedule, Window};
+use filbertsail_usage::{Agreement, Proposal, Schedule, Window};
 
 const TRUE_OFFSET_MS: i64 = 1_790_000_000_000;
 
@@ -60,7 +60,7 @@
 }
 
 /// Guards against windows that use an offset of the store's earlier run. Load: the store restarts
-/// and its clock begins at zero; a frozen VM reads a response of before its suspension.
+/// and its clock begins at zero.
 #[test]
 fn can_void_the_agreement_when_the_store_restarts() {
     let agreed = Agreement {
@@ -73,17 +73,6 @@
     let old = proposals(60_000, 0, 0);
     assert_eq!(agreed.confirm(&old, 90, 100), None);
     assert_eq!(Agreement::reach(&old, 90, Duration::from_secs(60), 100), None, "old proposals");
-    let mut anchor = Anchor::default();
-    anchor.observe(60_000, Instant::from_millis(1_000));
-    // Read 5 s late after a suspension, and seen twice.
-    anchor.observe(61_000, Instant::from_millis(7_000));
-    anchor.observe(61_000, Instant::from_millis(7_000));
-    assert_eq!(anchor.store_ms(Instant::from_millis(7_000)), Some(66_000));
-    anchor.observe(66_010, Instant::from_millis(7_010));
-    assert_eq!(anchor.restarts(), 0);
-    anchor.observe(100, Instant::from_millis(9_000));
-    anchor.observe(400, Instant::from_millis(9_300));
-    assert_eq!((anchor.restarts(), anchor.store_ms(Instant::from_millis(9_300))), (1, Some(400)));
 }
 
 /// Guards against a minute without reports after the store's clock has restarted, and against an
@@ -106,16 +95,6 @@
     assert_eq!(schedule.begin(false, 1, at(30_100)), Some(Duration::from_secs(10)));
 }
 
-/// Guards against requests in the wrong window while the store responds slowly.
-#[test]
-fn can_tell_the_time_from_the_fastest_response() {
-    let mut anchor = Anchor::default();
-    anchor.observe(10_000, Instant::from_millis(1_002));
-    anchor.observe(11_000, Instant::from_millis(2_402));
-    assert_eq!(anchor.store_ms(Instant::from_millis(2_402)), Some(11_400));
-    assert_eq!(anchor.store_ms(Instant::from_millis(902)), Some(9_900), "before the reading");
-}
-
 /// Guards against windows that are shifted by one.
 #[test]
 fn can_index_windows_from_the_start_of_1970() {
