Fleet: entries that arrive late do not replace newer ones

Cause: an entry that was held up in the cut reached the store after the report, and the VM took whichever entry came last. The number of an entry was decoded and dropped.

Change: fleet::history keeps the newest statement of each worker and orders entries by start time, then by number, also after a removal. The numbers of a new lifetime begin anew; equal numbers repeat what is known. New log lines: worker_entry_outdated, worker_entry_confirmed.

--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! speed, failures) is kept until the worker restarts or is removed.
 
 mod backfill;
+mod history;
 mod item;
 mod ramp;
 mod request;
@@ -25,6 +26,8 @@
 pub use ramp::{CircuitCause, CircuitChange, Transition};
 pub use request::Criteria;
 
+use history::{History, Order};
+
 use crate::{
     batch::{rows::hash32, takeover::Observation},
     dialect::Load,
@@ -46,9 +49,6 @@
 const TYPICAL_INTERVAL_REFRESH: Duration = Duration::from_millis(100);
 /// Number of workers from which a service counts as large.
 const LARGE_SERVICE_WORKERS: usize = 64;
-/// How long a worker that stated that it is leaving is remembered after its entry was removed. It
-/// exits within seconds to a minute, and its entry may come back until then.
-const LEAVER_RETENTION: Duration = Duration::from_secs(300);
 /// Time after the return of the store within which entries that lapsed meanwhile come back.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
@@ -66,6 +66,8 @@
     pub draining: bool,
     /// Start time in Unix milliseconds.
     pub started_ms: Option<u64>,
+    /// Number of the entry, which increases from its start on.
+    pub sequence: Option<u64>,
     /// Weight version of each model.
     pub models: Vec<(String, u64)>,
     /// How much longer it stays slow after its start, as it estimates.
@@ -112,8 +114,6 @@
     pub paused_until: Instant,
     /// Whether its entry disappeared during a store outage or right after it.
     has_lapsed: bool,
-    /// Whether it stated in a response that it is leaving. Its entry may lag behind.
-    is_leaving: bool,
 }
 
 impl Worker {
@@ -176,6 +176,8 @@
     Removed,
     /// Its entry lapsed during a store outage; the worker is kept for a grace period.
     Lapsed,
+    /// The entry is older than what the worker has stated since, and is ignored.
+    Outdated,
     /// Nothing relevant has changed.
     Unchanged,
 }
@@ -187,29 +189,13 @@
     // The keys come from the registry, which only the platform writes, so they are trusted.
     ids: HashMap<String, Key<Worker>>,
     services: HashMap<String, Service>,
-    leavers: Vec<Leaver>,
+    history: History,
     /// Number of other VMs.
     peers: u32,
     transitions: Vec<Transition>,
     circuit_changes: Vec<CircuitChange>,
 }
 
-/// Worker that stated that it is leaving.
-#[derive(Clone, Debug)]
-struct Leaver {
-    id: String,
-    started_ms: Option<u64>,
-    address: SocketAddr,
-    stated_at: Instant,
-}
-
-impl Leaver {
-    /// Whether it is the worker of `entry`, and not a later one under its identifier.
-    fn matches(&self, entry: &Entry) -> bool {
-        (&self.id, self.started_ms, self.address) == (&entry.id, entry.started_ms, entry.address)
-    }
-}
-
 /// Workers of a service.
 #[derive(Debug, Default)]
 struct Service {
@@ -269,20 +255,25 @@
         }
     }
 
-    /// Identifiers of all workers.
+    /// Identifiers of all entries that are registered as far as is known.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
-        self.ids.keys().map(String::as_str)
+        self.ids.keys().map(String::as_str).chain(self.history.outdated_ids())
     }
 
-    /// Adds or updates a worker from its registry entry.
-    pub fn apply_entry(&mut self, entry: Entry) -> Change {
+    /// Adds or updates a worker from its registry entry, unless the entry is outdated.
+    pub fn apply_entry(&mut self, mut entry: Entry) -> Change {
+        let order = self.history.record_entry(&entry);
+        if order == Order::Outdated {
+            return Change::Outdated;
+        }
+        entry.draining |= self.history.is_leaving(&entry.id);
         if let Some(key) = self.ids.get(&entry.id).copied()
             && let Some(worker) = self.workers.get_mut(key)
         {
-            let same = worker.entry.started_ms == entry.started_ms
+            let is_same = order == Order::Current
                 && worker.entry.address == entry.address
                 && worker.entry.service == entry.service;
-            if same {
+            if is_same {
                 let drains = entry.draining && !worker.entry.draining;
                 worker.update_entry(entry);
                 return if drains { Change::Draining } else { Change::Unchanged };
@@ -295,15 +286,28 @@
         Change::Added
     }
 
+    /// Applies outdated entries that stayed registered for so long that they must be current; returns
+    /// them with their effects. The registry is known as of `known_at`, and the store has answered
+    /// without interruption since `steady_since`.
+    pub fn confirm_entries(
+        &mut self,
+        steady_since: Instant,
+        known_at: Instant,
+    ) -> Vec<(Entry, Change)> {
+        let confirmed = self.history.take_confirmed(steady_since, known_at);
+        confirmed.into_iter().map(|entry| (entry.clone(), self.apply_entry(entry))).collect()
+    }
+
     /// Handles the disappearance of the entry of `id`. With `grace`, the entry may have lapsed only
     /// because of a store outage, and the worker is kept for now.
-    pub fn remove_entry(&mut self, id: &str, grace: bool) -> Change {
+    pub fn remove_entry(&mut self, id: &str, grace: bool, now: Instant) -> Change {
+        self.history.record_absence(id);
         let Some(key) = self.ids.get(id).copied() else { return Change::Unchanged };
         if grace && let Some(worker) = self.workers.get_mut(key) {
             worker.has_lapsed = true;
             return Change::Lapsed;
         }
-        self.remove(id);
+        self.forget(id, now);
         Change::Removed
     }
 
@@ -321,27 +325,26 @@
             .map(|(_, worker)| worker.entry.id.clone())
             .collect();
         for id in &ids {
-            self.remove(id);
+            self.forget(id, now);
         }
         ids
     }
 
+    /// Removes a worker whose entry was removed.
+    fn forget(&mut self, id: &str, now: Instant) {
+        if let Some(worker) = self.remove(id) {
+            self.history.record_removal(&worker.entry.id, now);
+        }
+    }
+
     /// Records that a worker stated in a response that it is leaving; returns whether this is new.
-    pub fn record_leaving(&mut self, key: Key<Worker>, now: Instant) -> bool {
+    pub fn record_leaving(&mut self, key: Key<Worker>) -> bool {
         let Some(worker) = self.workers.get_mut(key) else { return false };
-        if std::mem::replace(&mut worker.is_leaving, true) {
-            return false;
-        }
         worker.entry.draining = true;
-        let Entry { id, started_ms, address, .. } = worker.entry.clone();
-        self.leavers.retain(|leaver| now.since(leaver.stated_at) < LEAVER_RETENTION);
-        self.leavers.push(Leaver { id, started_ms, address, stated_at: now });
-        true
+        self.history.record_leaving(&worker.entry.id)
     }
 
-    fn add(&mut self, mut entry: Entry) {
-        let is_leaving = self.leavers.iter().any(|leaver| leaver.matches(&entry));
-        entry.draining |= is_leaving;
+    fn add(&mut self, entry: Entry) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let pace = Pace::new(entry.slots);
         let key = self.workers.insert(Worker {
@@ -355,18 +358,18 @@
             pace,
             paused_until: Instant::default(),
             has_lapsed: false,
-            is_leaving,
         });
         self.ids.insert(id, key);
         self.services.entry(service).or_default().workers.push(key);
     }
 
-    fn remove(&mut self, id: &str) {
-        let Some(key) = self.ids.remove(id) else { return };
-        let Some(worker) = self.workers.remove(key) else { return };
+    fn remove(&mut self, id: &str) -> Option<Worker> {
+        let key = self.ids.remove(id)?;
+        let worker = self.workers.remove(key)?;
         if let Some(service) = self.services.get_mut(&worker.entry.service) {
             service.workers.retain(|other| *other != key);
         }
+        Some(worker)
     }
 
     /// Records a request sent to a worker, expected to occupy `tokens` in the KV cache.
@@ -539,7 +542,6 @@
     fn update_entry(&mut self, entry: Entry) {
         self.pace.set_max_limit(entry.slots);
         let known = std::mem::replace(&mut self.entry, entry).models;
-        self.entry.draining |= self.is_leaving;
         // The registry lags behind the responses of the worker.
         for (model, version) in known {
             self.raise_version(&model, version);
--- a/components/entry/src/follow/workers.rs
+++ b/components/entry/src/follow/workers.rs
@@ -12,7 +12,7 @@
 use super::{Table, Update, WAIT, follow};
 use crate::{
     dialect::Dialect,
-    fleet::{Change, LAPSE_GRACE, Transition},
+    fleet::{Change, Entry, LAPSE_GRACE, Transition},
     shared::Shared,
 };
 
@@ -38,8 +38,8 @@
 }
 
 fn apply<D: Dialect>(shared: &Shared, update: Update) {
-    match update {
-        Update::Snapshot(rows, _) => {
+    let known_at = match update {
+        Update::Snapshot(rows, sent_at) => {
             let present: HashSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
             let removed: Vec<String> = {
                 let fleet = shared.fleet();
@@ -49,17 +49,22 @@
                 remove(shared, &id);
             }
             rows.iter().for_each(|row| apply_entry::<D>(shared, row));
+            sent_at
         }
-        Update::Changes(rows, _) if rows.is_empty() => return,
-        Update::Changes(rows, _) => {
+        Update::Changes(rows, known_at) if rows.is_empty() => {
+            return confirm_entries(shared, known_at);
+        }
+        Update::Changes(rows, known_at) => {
             for row in &rows {
                 match row.value {
                     Some(_) => apply_entry::<D>(shared, row),
                     None => remove(shared, &row.key),
                 }
             }
+            known_at
         }
-    }
+    };
+    confirm_entries(shared, known_at);
     shared.fleet_changed.send_modify(|count| *count += 1);
 }
 
@@ -77,16 +82,43 @@
             return remove(shared, &row.key);
         }
     };
-    let (id, service, address) = (entry.id.clone(), entry.service.clone(), entry.address);
-    let change = shared.fleet().apply_entry(entry);
+    let change = shared.fleet().apply_entry(entry.clone());
+    if change == Change::Outdated {
+        return entry_line("worker_entry_outdated", &entry).with("row_version", row.version).info();
+    }
+    entry_applied(shared, &entry, change, row.version);
+}
+
+fn entry_line(name: &'static str, entry: &Entry) -> Line {
+    Line::new(name)
+        .with("worker", &entry.id)
+        .with("started_ms", entry.started_ms.unwrap_or(0))
+        .with("sequence", entry.sequence.unwrap_or(0))
+}
+
+fn entry_applied(shared: &Shared, entry: &Entry, change: Change, row_version: u64) {
     if matches!(change, Change::Added | Change::Restarted) {
-        shared.pool.close_idle(address);
+        shared.pool.close_idle(entry.address);
         // The workers of the first snapshot are new to this VM only.
         if *shared.fleet_changed.borrow() > 0 {
-            begin_ramp(shared, &id, change);
+            begin_ramp(shared, &entry.id, change);
         }
     }
-    log_change(change, &id, &service, row.version);
+    log_change(change, &entry.id, &entry.service, row_version);
+}
+
+/// Applies outdated entries that must be current, since they stayed registered.
+fn confirm_entries(shared: &Shared, known_at: Instant) {
+    let link = *shared.link.borrow();
+    let (None, Some(steady_since)) = (link.lost, link.regained) else { return };
+    let confirmed = shared.fleet().confirm_entries(steady_since, known_at);
+    for (entry, change) in &confirmed {
+        entry_line("worker_entry_confirmed", entry).info();
+        entry_applied(shared, entry, *change, 0);
+    }
+    if !confirmed.is_empty() {
+        shared.fleet_changed.send_modify(|count| *count += 1);
+    }
 }
 
 fn begin_ramp(shared: &Shared, id: &str, change: Change) {
@@ -107,7 +139,7 @@
         let fleet = shared.fleet();
         fleet.key(id).and_then(|key| fleet.get(key)).map(|worker| worker.entry.address)
     };
-    let change = shared.fleet().remove_entry(id, grace);
+    let change = shared.fleet().remove_entry(id, grace, now);
     if let (Change::Removed, Some(address)) = (change, address) {
         shared.pool.close_idle(address);
     }
@@ -121,7 +153,7 @@
         Change::Draining => "worker_draining",
         Change::Removed => "worker_removed",
         Change::Lapsed => "worker_lapsed",
-        Change::Unchanged => return,
+        Change::Outdated | Change::Unchanged => return,
     };
     Line::new(name)
         .with("worker", id)
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -206,7 +206,7 @@
         if let Some(load) = answer.load {
             fleet.record_load(worker, load, now);
         }
-        if answer.is_leaving && fleet.record_leaving(worker, now) {
+        if answer.is_leaving && fleet.record_leaving(worker) {
             let id = fleet.get(worker).map_or("", |worker| worker.entry.id.as_str());
             Line::new("worker_leaving").with("worker", id).with("source", "response").info();
             drop(fleet);
--- a/components/entry/tests/backfill.rs
+++ b/components/entry/tests/backfill.rs
@@ -40,6 +40,7 @@
         slots: 16,
         draining: false,
         started_ms: Some(1),
+        sequence: None,
         models: vec![("m".to_owned(), 1)],
         warmup_left: Duration::ZERO,
         is_spot: false,
@@ -117,7 +118,7 @@
 
     fn lose(&mut self, id: &str) {
         let lost = self.fleet.key(id).expect("known");
-        self.fleet.remove_entry(id, false);
+        self.fleet.remove_entry(id, false, at(0));
         self.running.retain(|(execution, item, worker, ..)| {
             if *worker == lost {
                 self.sent.remove(&(*execution, *item));
--- a/components/entry/tests/engines.rs
+++ b/components/entry/tests/engines.rs
@@ -92,6 +92,7 @@
         slots: u32::try_from(SLOTS).expect("small"),
         draining: false,
         started_ms: None,
+        sequence: None,
         models: MODELS.iter().zip(versions).map(|(model, it)| ((*model).to_owned(), it)).collect(),
         warmup_left: Duration::ZERO,
         is_spot: false,
--- a/components/entry/tests/evacuation.rs
+++ b/components/entry/tests/evacuation.rs
@@ -71,6 +71,7 @@
         slots: 2,
         draining: leaves_in.is_some(),
         started_ms: Some(1),
+        sequence: None,
         models: vec![("m".to_owned(), 1)],
         warmup_left: Duration::ZERO,
         is_spot: true,
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -24,6 +24,7 @@
         slots: 4,
         draining: false,
         started_ms: Some(1),
+        sequence: None,
         models: vec![("m".to_owned(), 3)],
         warmup_left: Duration::ZERO,
         is_spot: false,
@@ -64,13 +65,13 @@
 #[test]
 fn can_keep_lapsed_workers_for_a_while() {
     let mut fleet = fleet(&["one", "two"]);
-    assert_eq!(fleet.remove_entry("one", true), fleet::Change::Lapsed);
-    assert_eq!(fleet.remove_entry("two", true), fleet::Change::Lapsed);
+    assert_eq!(fleet.remove_entry("one", true, at(0)), fleet::Change::Lapsed);
+    assert_eq!(fleet.remove_entry("two", true, at(0)), fleet::Change::Lapsed);
     let returned = at(1_000);
     assert_eq!(fleet.remove_lapsed(returned, at(2_900)), Vec::<String>::new());
     fleet.apply_entry(entry("one", "a"));
     assert_eq!(fleet.remove_lapsed(returned, at(3_000)), ["two"]);
-    assert_eq!(fleet.remove_entry("one", false), fleet::Change::Removed);
+    assert_eq!(fleet.remove_entry("one", false, at(0)), fleet::Change::Removed);
     assert!(fleet.is_empty());
 }
 
@@ -256,14 +257,131 @@
     assert_eq!(place(&fleet, &REQUIREMENTS, 2), None);
 }
 
+/// Entry `sequence` of the worker "one" in the lifetime that began at `started_ms`.
+fn numbered(started_ms: u64, sequence: u64, draining: bool) -> Entry {
+    Entry { started_ms: Some(started_ms), sequence: Some(sequence), draining, ..entry("one", "a") }
+}
+
+/// Guards against a draining or removed worker that gets requests again, because an entry that was
+/// written earlier arrives later.
+#[test]
+fn can_ignore_entries_that_arrive_late() {
+    use fleet::Change::{Added, Draining, Lapsed, Outdated, Removed, Restarted, Unchanged};
+    let mut fleet = Fleet::default();
+    let is_used = |fleet: &Fleet, now| place(fleet, &REQUIREMENTS, now).is_some();
+    assert_eq!(fleet.apply_entry(numbered(50, 7, false)), Added);
+    assert_eq!(fleet.apply_entry(numbered(50, 9, true)), Draining);
+    assert_eq!(fleet.apply_entry(numbered(50, 8, false)), Outdated);
+    assert!(!is_used(&fleet, 10));
+    assert_eq!(fleet.remove_entry("one", false, at(20)), Removed);
+    assert_eq!(fleet.apply_entry(numbered(50, 8, false)), Outdated);
+    assert!(fleet.key("one").is_none(), "an entry of before the removal brings it back");
+    assert_eq!(fleet.apply_entry(numbered(50, 9, true)), Added);
+    assert!(!is_used(&fleet, 30));
+    // It does not drain any more, and a table that is read again repeats what is known.
+    assert_eq!(fleet.apply_entry(numbered(50, 10, false)), Unchanged);
+    assert_eq!(fleet.apply_entry(numbered(50, 10, false)), Unchanged);
+    assert!(is_used(&fleet, 40));
+
+    assert_eq!(fleet.apply_entry(numbered(60, 1, false)), Restarted);
+    assert_eq!(fleet.apply_entry(numbered(50, 11, true)), Outdated);
+    assert!(is_used(&fleet, 50), "an earlier lifetime ends the present one");
+    assert_eq!(fleet.remove_entry("one", true, at(60)), Lapsed);
+    assert_eq!(fleet.apply_entry(numbered(60, 0, false)), Outdated);
+    assert_eq!(fleet.remove_lapsed(at(60), at(60).after(fleet::LAPSE_GRACE)), ["one"]);
+}
+
+/// Guards against a worker that is not used although it is there: it was removed while it could not
+/// reach the store, it has started again with numbers that begin anew, its entry is written again, or
+/// entries are not numbered.
+#[test]
+fn can_use_workers_that_come_back() {
+    use fleet::Change::{Added, Removed, Restarted, Unchanged};
+    let mut fleet = Fleet::default();
+    let is_used = |fleet: &Fleet| place(fleet, &REQUIREMENTS, 1_000).is_some();
+    for (back, change) in [
+        (numbered(50, 7, false), Added),
+        (numbered(50, 8, false), Added),
+        (numbered(50, 8, false), Added),
+        (numbered(70, 1, false), Added),
+        (Entry { sequence: None, ..numbered(70, 0, false) }, Added),
+        (Entry { started_ms: None, ..numbered(0, 5, false) }, Added),
+        (Entry { started_ms: None, ..numbered(0, 1, false) }, Added),
+        (numbered(80, 1, false), Added),
+    ] {
+        assert_eq!(fleet.apply_entry(back.clone()), change, "{back:?}");
+        assert!(is_used(&fleet), "{back:?}");
+        assert_eq!(fleet.remove_entry("one", false, at(10)), Removed);
+    }
+    assert_eq!(fleet.apply_entry(numbered(80, 9, false)), Added);
+    assert_eq!(fleet.apply_entry(numbered(90, 1, false)), Restarted);
+    assert_eq!(fleet.apply_entry(Entry { sequence: None, ..numbered(90, 0, false) }), Unchanged);
+    assert_eq!(fleet.apply_entry(numbered(90, 1, false)), Unchanged);
+    assert!(is_used(&fleet));
+}
+
+/// Guards against a worker that is never used again: the registry keeps an outdated entry which the
+/// worker repeats with other numbers, or its wall clock was set back before it started again.
+#[test]
+fn can_use_outdated_entries_that_stay() {
+    use fleet::Change::{Added, Outdated, Removed, Restarted, Unchanged};
+    let is_used = |fleet: &Fleet| place(fleet, &REQUIREMENTS, 1_000).is_some();
+    let confirm = |fleet: &mut Fleet, steady: u64, now: u64| {
+        let confirmed = fleet.confirm_entries(at(steady), at(now));
+        confirmed.into_iter().map(|(_, change)| change).collect::<Vec<_>>()
+    };
+    for (is_removed, late, change) in [
+        (true, numbered(50, 8, false), Added),
+        (true, numbered(40, 1, false), Added),
+        (false, numbered(40, 1, false), Restarted),
+        (false, numbered(50, 8, false), Unchanged),
+    ] {
+        let mut fleet = Fleet::default();
+        fleet.apply_entry(numbered(50, 9, true));
+        if is_removed {
+            assert_eq!(fleet.remove_entry("one", false, at(0)), Removed);
+        }
+        assert_eq!(fleet.apply_entry(late.clone()), Outdated);
+        assert_eq!(confirm(&mut fleet, 0, 100), []);
+        assert_eq!(confirm(&mut fleet, 5_000, 34_900), [], "the store was away meanwhile");
+        assert!(!is_used(&fleet));
+        assert_eq!(confirm(&mut fleet, 5_000, 35_000), [change], "{late:?}");
+        assert!(is_used(&fleet), "{late:?}");
+        assert_eq!(confirm(&mut fleet, 5_000, 90_000), []);
+
+        fleet.apply_entry(numbered(60, 5, true));
+        fleet.apply_entry(numbered(60, 4, false));
+        assert_eq!(confirm(&mut fleet, 0, 100_000), []);
+        fleet.apply_entry(numbered(60, 6, true));
+        assert_eq!(confirm(&mut fleet, 0, 200_000), [], "a newer entry followed");
+        fleet.apply_entry(numbered(60, 4, false));
+        assert_eq!(confirm(&mut fleet, 0, 300_000), []);
+        fleet.remove_entry("one", false, at(310_000));
+        assert_eq!(confirm(&mut fleet, 0, 400_000), [], "it was removed");
+    }
+}
+
+/// Guards against a history that grows with each worker that has ever run.
+#[test]
+fn can_forget_workers_that_were_removed_long_ago() {
+    let mut fleet = fleet(&["two"]);
+    fleet.apply_entry(numbered(50, 9, false));
+    fleet.remove_entry("one", false, at(0));
+    fleet.remove_entry("two", false, at(299_000));
+    assert_eq!(fleet.apply_entry(numbered(50, 8, false)), fleet::Change::Outdated);
+    fleet.apply_entry(entry("two", "a"));
+    fleet.remove_entry("two", false, at(300_000));
+    assert_eq!(fleet.apply_entry(numbered(50, 8, false)), fleet::Change::Added);
+}
+
 /// Guards against requests to a worker that has stated that it is leaving, because its entry lags
 /// behind, was removed or lapsed and came back.
 #[test]
 fn can_remember_leaving_workers() {
     let mut fleet = fleet(&["one", "two"]);
     let key = fleet.key("one").expect("added");
-    assert!(fleet.record_leaving(key, at(100)));
-    assert!(!fleet.record_leaving(key, at(200)), "known already");
+    assert!(fleet.record_leaving(key));
+    assert!(!fleet.record_leaving(key), "known already");
     let criteria = Criteria { service: "lm", zone: "a", tried: &[] };
     let assert_unused = |fleet: &Fleet, now: u64| {
         let one = fleet.key("one").expect("present");
@@ -275,15 +393,15 @@
     assert_unused(&fleet, 200);
     assert_eq!(fleet.apply_entry(entry("one", "a")), fleet::Change::Unchanged);
     assert_unused(&fleet, 300);
-    fleet.remove_entry("one", true);
+    fleet.remove_entry("one", true, at(400));
     fleet.apply_entry(entry("one", "a"));
     assert_unused(&fleet, 500);
-    fleet.remove_entry("one", false);
+    fleet.remove_entry("one", false, at(600));
     fleet.apply_entry(entry("one", "a"));
     assert_unused(&fleet, 700);
 
     fleet.apply_entry(Entry { started_ms: Some(2), ..entry("one", "a") });
-    fleet.remove_entry("two", false);
+    fleet.remove_entry("two", false, at(800));
     assert_eq!(place(&fleet, &REQUIREMENTS, 900).as_deref(), Some("one"), "it has restarted");
 }
 
--- a/components/entry/tests/plan.rs
+++ b/components/entry/tests/plan.rs
@@ -77,6 +77,7 @@
         slots: 8,
         draining: false,
         started_ms: Some(1),
+        sequence: None,
         models: vec![("m".to_owned(), 1)],
         warmup_left: Duration::ZERO,
         is_spot: false,
--- a/components/entry/tests/rewards.rs
+++ b/components/entry/tests/rewards.rs
@@ -80,6 +80,7 @@
             slots: SLOTS,
             draining: false,
             started_ms: Some(1),
+            sequence: None,
             models: Vec::new(),
             warmup_left: Duration::ZERO,
             is_spot: false,
--- a/components/entry/tests/scaling.rs
+++ b/components/entry/tests/scaling.rs
@@ -86,6 +86,7 @@
                 slots: 8,
                 draining: false,
                 started_ms: Some(1),
+                sequence: None,
                 models: Vec::new(),
                 warmup_left: Duration::ZERO,
                 is_spot: false,
--- a/components/entry/tests/shares.rs
+++ b/components/entry/tests/shares.rs
@@ -22,6 +22,7 @@
         slots: 8,
         draining: false,
         started_ms: None,
+        sequence: None,
         models: MODELS.map(|model| (model.to_owned(), 1)).to_vec(),
         warmup_left: Duration::ZERO,
         is_spot: false,
--- a/components/entry/tests/weights.rs
+++ b/components/entry/tests/weights.rs
@@ -22,6 +22,7 @@
             slots: 16,
             draining: false,
             started_ms: None,
+            sequence: None,
             models: vec![("m".to_owned(), 1), ("n".to_owned(), 1)],
             warmup_left: Duration::ZERO,
             is_spot: false,
