Routing: a load report that arrives late does not bring a leaving worker back

What callers would see: requests at a worker that has said that it is leaving.

Cause: Load kept the newest report by its time of measurement, but the statement that the worker is leaving and its incarnation were taken from any report.

Change: a report is outdated if it was measured earlier than the last one and its incarnation is not higher. It still proves contact and a weight version. A lower incarnation that was measured later is a worker that started after its wall clock was set back, and is used.

--- a/components/routing/src/state/load.rs
+++ b/components/routing/src/state/load.rs
@@ -67,12 +67,16 @@
         self.add_event(now, -1);
     }
 
+    /// Whether `report` is older than the last one. An incarnation may have a lower number than the one
+    /// before, if the wall clock of its VM was set back.
+    pub(super) fn is_outdated(&self, report: &Report) -> bool {
+        self.report.as_ref().is_some_and(|last| {
+            report.incarnation <= last.incarnation && report.measured_at < last.measured_at
+        })
+    }
+
+    /// Records a report that is not outdated.
     pub(super) fn record_report(&mut self, report: Report) {
-        if self.report.as_ref().is_some_and(|last| {
-            last.incarnation == report.incarnation && last.measured_at > report.measured_at
-        }) {
-            return;
-        }
         while self.events.front().is_some_and(|&(time, _)| time <= report.measured_at) {
             self.remove_oldest_event();
         }
--- a/components/routing/src/state/mod.rs
+++ b/components/routing/src/state/mod.rs
@@ -265,6 +265,15 @@
     /// Applies a load report of the worker `key`.
     pub fn record_report(&mut self, key: Key<Worker>, report: Report) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.failed_contacts = 0;
+        if let (Some(service), Some(version)) =
+            (self.services.get_mut(worker.service), report.weight_version)
+        {
+            service.newest_version = service.newest_version.max(version);
+        }
+        if worker.load.is_outdated(&report) {
+            return;
+        }
         if worker.load.incarnation().is_some_and(|last| last != report.incarnation) {
             worker.prefixes.reset();
             worker.is_new = false;
@@ -275,12 +284,6 @@
             self.ramp_changes.extend(change.map(|change| (key, change)));
         }
         worker.departure.report = report.leaving;
-        worker.failed_contacts = 0;
-        if let (Some(service), Some(version)) =
-            (self.services.get_mut(worker.service), report.weight_version)
-        {
-            service.newest_version = service.newest_version.max(version);
-        }
         worker.load.record_report(report);
     }
 }
