Fleet: responses of removed workers state that they are leaving

Cause: the statement was recorded for the worker in the table, which was gone, and dropped.

Change: fleet::history remembers the lifetimes of removed workers by the keys that requests under way hold. The statement holds for that lifetime, whether its entry is gone, has come back or lapsed, and not for a later one. The five minutes count from the removal. worker_leaving says whether the worker is registered.

--- a/components/entry/src/fleet/history.rs
+++ b/components/entry/src/fleet/history.rs
@@ -1,6 +1,7 @@
 //! What workers last stated of themselves, and which statement is the newest.
 //!
-//! An entry may arrive seconds after a newer one. The start time tells the lifetimes of an identifier
+//! Statements arrive in any order: an entry seconds after a newer one, a response after the entry of its
+//! worker was removed or came back. The start time tells the lifetimes of an identifier
 //! apart, and the number of an entry orders those of one lifetime; the numbers of the next lifetime
 //! begin anew. A removal ends no lifetime, since entries are also removed when the store does not hear
 //! of a worker: a newer entry brings it back. A statement that the worker is leaving holds for the rest
@@ -13,9 +14,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use filbertsail_clock::Instant;
-use filbertsail_collections::HashMap;
+use filbertsail_collections::{HashMap, arena::Key};
 
-use super::Entry;
+use super::{Entry, Worker};
 
 /// How long a worker is remembered after its entry was removed. One that is leaving exits within
 /// seconds to a minute, and its entry may come back until then.
@@ -68,6 +69,14 @@
     removed_at: Option<Instant>,
 }
 
+/// Worker that was removed, to whose requests responses may still arrive.
+#[derive(Clone, Debug)]
+struct Removed {
+    id: String,
+    lifetime: Lifetime,
+    at: Instant,
+}
+
 /// Newest statements of all workers, by identifier.
 #[derive(Debug, Default)]
 pub(super) struct History {
@@ -75,6 +84,7 @@
     records: HashMap<String, Record>,
     /// Registered entries that are outdated, and since when that is known.
     outdated: HashMap<String, (Entry, Option<Instant>)>,
+    removed: HashMap<Key<Worker>, Removed>,
 }
 
 impl History {
@@ -157,13 +167,23 @@
         confirmed
     }
 
-    /// Records that the entry of the worker `id` was removed.
-    pub fn record_removal(&mut self, id: &str, now: Instant) {
+    /// Records that the entry `entry` of the worker `key` was removed.
+    pub fn record_removal(&mut self, key: Key<Worker>, entry: &Entry, now: Instant) {
         let is_recent = |at: Instant| now.since(at) < RETENTION;
         self.records.retain(|_, record| record.removed_at.is_none_or(is_recent));
-        if let Some(record) = self.records.get_mut(id) {
+        self.removed.retain(|_, removed| is_recent(removed.at));
+        if let Some(record) = self.records.get_mut(&entry.id) {
             record.removed_at = Some(now);
         }
+        let removed = Removed { id: entry.id.clone(), lifetime: Lifetime::of(entry), at: now };
+        self.removed.insert(key, removed);
+    }
+
+    /// Identifier of a removed worker, unless it has started again since.
+    pub fn removed_id(&self, key: Key<Worker>) -> Option<&str> {
+        let removed = self.removed.get(&key)?;
+        let record = self.records.get(&removed.id)?;
+        record.lifetime.matches(&removed.lifetime).then_some(removed.id.as_str())
     }
 
     /// Records that the worker `id` stated in its present lifetime that it is leaving; returns whether
--- a/components/entry/src/fleet/mod.rs
+++ b/components/entry/src/fleet/mod.rs
@@ -332,16 +332,20 @@
 
     /// Removes a worker whose entry was removed.
     fn forget(&mut self, id: &str, now: Instant) {
-        if let Some(worker) = self.remove(id) {
-            self.history.record_removal(&worker.entry.id, now);
+        if let Some((key, worker)) = self.remove(id) {
+            self.history.record_removal(key, &worker.entry, now);
         }
     }
 
-    /// Records that a worker stated in a response that it is leaving; returns whether this is new.
-    pub fn record_leaving(&mut self, key: Key<Worker>) -> bool {
-        let Some(worker) = self.workers.get_mut(key) else { return false };
-        worker.entry.draining = true;
-        self.history.record_leaving(&worker.entry.id)
+    /// Records that a worker stated in a response that it is leaving; returns its identifier if this is
+    /// new. Its entry may have been removed meanwhile, or have come back for another key.
+    pub fn record_leaving(&mut self, key: Key<Worker>) -> Option<String> {
+        let present = self.workers.get(key).map(|worker| worker.entry.id.as_str());
+        let id = present.or_else(|| self.history.removed_id(key))?.to_owned();
+        if let Some(worker) = self.ids.get(&id).and_then(|key| self.workers.get_mut(*key)) {
+            worker.entry.draining = true;
+        }
+        self.history.record_leaving(&id).then_some(id)
     }
 
     fn add(&mut self, entry: Entry) {
@@ -363,13 +367,13 @@
         self.services.entry(service).or_default().workers.push(key);
     }
 
-    fn remove(&mut self, id: &str) -> Option<Worker> {
+    fn remove(&mut self, id: &str) -> Option<(Key<Worker>, Worker)> {
         let key = self.ids.remove(id)?;
         let worker = self.workers.remove(key)?;
         if let Some(service) = self.services.get_mut(&worker.entry.service) {
             service.workers.retain(|other| *other != key);
         }
-        Some(worker)
+        Some((key, worker))
     }
 
     /// Records a request sent to a worker, expected to occupy `tokens` in the KV cache.
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -206,10 +206,16 @@
         if let Some(load) = answer.load {
             fleet.record_load(worker, load, now);
         }
-        if answer.is_leaving && fleet.record_leaving(worker) {
-            let id = fleet.get(worker).map_or("", |worker| worker.entry.id.as_str());
-            Line::new("worker_leaving").with("worker", id).with("source", "response").info();
+        if answer.is_leaving
+            && let Some(id) = fleet.record_leaving(worker)
+        {
+            let is_registered = fleet.key(&id).is_some();
             drop(fleet);
+            Line::new("worker_leaving")
+                .with("worker", id)
+                .with("source", "response")
+                .with("registered", is_registered)
+                .info();
             self.fleet_changed.send_modify(|count| *count += 1);
         }
     }
--- a/components/entry/tests/fleet.rs
+++ b/components/entry/tests/fleet.rs
@@ -380,8 +380,8 @@
 fn can_remember_leaving_workers() {
     let mut fleet = fleet(&["one", "two"]);
     let key = fleet.key("one").expect("added");
-    assert!(fleet.record_leaving(key));
-    assert!(!fleet.record_leaving(key), "known already");
+    assert_eq!(fleet.record_leaving(key).as_deref(), Some("one"));
+    assert_eq!(fleet.record_leaving(key), None, "known already");
     let criteria = Criteria { service: "lm", zone: "a", tried: &[] };
     let assert_unused = |fleet: &Fleet, now: u64| {
         let one = fleet.key("one").expect("present");
@@ -405,6 +405,42 @@
     assert_eq!(place(&fleet, &REQUIREMENTS, 900).as_deref(), Some("one"), "it has restarted");
 }
 
+/// Guards against requests to a worker whose response said that it is leaving after its entry was
+/// removed or lapsed, or came back before; and against a worker that is not used since an earlier
+/// lifetime of it was leaving.
+#[test]
+fn can_remember_leaving_workers_that_were_removed() {
+    let is_used = |fleet: &Fleet| place(fleet, &REQUIREMENTS, 1_000).is_some();
+    for (before, after) in
+        [(None, numbered(50, 8, false)), (Some(numbered(50, 8, false)), numbered(50, 9, false))]
+    {
+        for is_lapsed in [false, true] {
+            let mut fleet = Fleet::default();
+            fleet.apply_entry(numbered(50, 7, false));
+            let key = fleet.key("one").expect("added");
+            fleet.remove_entry("one", is_lapsed, at(10));
+            if is_lapsed {
+                fleet.remove_lapsed(at(10), at(10).after(fleet::LAPSE_GRACE));
+            }
+            if let Some(entry) = before.clone() {
+                fleet.apply_entry(entry);
+            }
+            assert_eq!(fleet.record_leaving(key).as_deref(), Some("one"));
+            assert_eq!(fleet.record_leaving(key), None, "known already");
+            assert!(!is_used(&fleet));
+            fleet.apply_entry(after.clone());
+            assert!(!is_used(&fleet), "{before:?}");
+            fleet.remove_entry("one", false, at(20_000));
+            fleet.apply_entry(numbered(50, 10, false));
+            assert!(!is_used(&fleet), "{before:?}");
+            assert_eq!(fleet.apply_entry(numbered(60, 1, false)), fleet::Change::Restarted);
+            assert!(is_used(&fleet), "it has started again");
+            assert_eq!(fleet.record_leaving(key), None, "a response of the lifetime before");
+            assert!(is_used(&fleet));
+        }
+    }
+}
+
 /// Guards against a rush to a plain worker that was added, against requests that are refused because
 /// all workers start, and against a state that remains.
 #[test]
