Store clock: the end of an outage counts from the reading of the response

The change of the clock had dated the end of an outage back to the time at which the store made its response. A VM that is frozen at that moment would then drop the workers whose entries lapsed before it has read that they are back. The time is again that of the reading.

Also a test that each kind of call tells the store's clock, which fails without the record of transactions.

--- a/components/entry/src/fleet/history.rs
+++ b/components/entry/src/fleet/history.rs
@@ -1,11 +1,11 @@
 //! What workers last stated of themselves, and which statement is the newest.
 //!
 //! Statements arrive in any order: an entry seconds after a newer one, a response after the entry of its
-//! worker was removed or came back. The start time tells the lifetimes of an identifier
-//! apart, and the number of an entry orders those of one lifetime; the numbers of the next lifetime
-//! begin anew. A removal ends no lifetime, since entries are also removed when the store does not hear
-//! of a worker: a newer entry brings it back. A statement that the worker is leaving holds for the rest
-//! of its lifetime.
+//! worker was removed or came back. The start time tells the lifetimes of an identifier apart, and the
+//! number of an entry orders those of one lifetime; the numbers of the next lifetime begin anew. A
+//! removal ends no lifetime, since entries are also removed when the store does not hear of a worker: a
+//! newer entry brings it back. A statement that the worker is leaving holds for the rest of its
+//! lifetime.
 //!
 //! The registry does not show a new entry that differs in its number only, and removes the entries of
 //! workers that it does not hear of. So an outdated entry that stays is repeated by its worker, and
--- a/components/entry/src/follow/mod.rs
+++ b/components/entry/src/follow/mod.rs
@@ -66,7 +66,7 @@
         let sent_at = shared.now();
         let mut version = match snapshot(&store, &table).await {
             Ok((rows, page)) => {
-                record_success(&shared, &table, answer_time(&shared, &page, sent_at));
+                record_success(&shared, &table);
                 on_update(Update::Snapshot(rows, sent_at));
                 page.version
             }
@@ -83,7 +83,7 @@
                     backoff = RETRY_DELAY;
                     wait = table.wait;
                     let answered_at = answer_time(&shared, &page, sent_at);
-                    record_success(&shared, &table, answered_at);
+                    record_success(&shared, &table);
                     version = page.version.max(version);
                     let has_changes = !page.rows.is_empty();
                     on_update(Update::Changes(page.rows, answered_at));
@@ -137,27 +137,28 @@
     Ok((rows, first.unwrap_or_default()))
 }
 
-/// Local time at which the store made a response to a call sent at `sent_at`. The response may have
-/// waited since, in a VM that was frozen.
+/// Local time at which the store made a response to a call sent at `sent_at`; that time if the response
+/// does not state the clock. It may have waited since, in a VM that was frozen.
 fn answer_time(shared: &Shared, page: &Page, sent_at: Instant) -> Instant {
     let now = shared.now();
     shared.link.borrow().local_time(page.now_ms, now).max(sent_at)
 }
 
-fn record_success(shared: &Shared, table: &Table, answered_at: Instant) {
+fn record_success(shared: &Shared, table: &Table) {
     if !table.tracks_outages {
         return;
     }
+    let now = shared.now();
     shared.link.send_if_modified(|link| {
         let lost = link.lost.take();
         if let Some(lost) = lost {
-            link.returned = Some(answered_at);
-            let outage_ms = answered_at.since(lost).as_millis();
+            link.returned = Some(now);
+            let outage_ms = now.since(lost).as_millis();
             shared.metrics.count_store_change("regained");
             Line::new("store_regained").with("away_ms", outage_ms).info();
         }
         if lost.is_some() || link.regained.is_none() {
-            link.regained = Some(answered_at);
+            link.regained = Some(now);
             return true;
         }
         false
--- a/components/entry/tests/link.rs
+++ b/components/entry/tests/link.rs
@@ -90,7 +90,7 @@
     assert_eq!(link.store_ms(at(11_005)), 1_040);
 }
 
-/// Store whose feed answers with pages that waited for a while.
+/// Store with a feed whose responses are late.
 #[derive(Clone, Debug)]
 struct SlowFeed {
     /// Clock stated in the responses, with the delay of each; the feed is silent after the last.
@@ -99,7 +99,7 @@
 
 impl Store for SlowFeed {
     async fn transact(&self, _: Transaction) -> Result<Commit, Fault> {
-        Err(Fault::Unavailable("only feeds are served".to_owned()))
+        Ok(Commit { version: 2, now_ms: AHEAD_MS + 5_000 })
     }
 
     async fn range(&self, _: Range) -> Result<Page, Fault> {
@@ -115,10 +115,7 @@
     }
 }
 
-/// Guards against owners of batches that count as silent after a freeze, because their heartbeats wait
-/// unread behind a response of before the freeze that is taken for a recent one.
-#[tokio::test]
-async fn can_tell_when_a_late_response_was_made() {
+fn shared() -> Shared {
     let identity = Identity { vm: "vm-1".to_owned(), incarnation: 1, zone: "zone-a".to_owned() };
     let times = Times {
         stop_limit: Duration::from_secs(8),
@@ -127,7 +124,40 @@
         revocation: None,
         config_apply: Duration::from_secs(2),
     };
-    let shared = Shared::new(identity, times).unwrap();
+    Shared::new(identity, times).unwrap()
+}
+
+/// Guards against a kind of call whose responses do not tell the clock, and against a response that
+/// does not state the clock and sets it to zero.
+#[tokio::test]
+async fn can_read_the_clock_from_each_call() {
+    let shared = shared();
+    let responses = vec![(0, Duration::ZERO), (AHEAD_MS + 20_000, Duration::ZERO)];
+    let responses = Arc::new(std::sync::Mutex::new(responses));
+    let store = Timed::new(SlowFeed { responses }, shared.clone());
+    let stated = || shared.link.borrow().store_ms(shared.now());
+    let range = Range {
+        table: "table",
+        part: String::new(),
+        from: String::new(),
+        to: String::new(),
+        limit: 1,
+    };
+    store.range(range).await.unwrap();
+    assert!(stated() >= AHEAD_MS);
+    store.transact(Transaction::default()).await.unwrap();
+    assert!(stated() >= AHEAD_MS + 5_000);
+    store.changes("table", 2, Duration::ZERO).await.unwrap();
+    assert!(stated() >= AHEAD_MS + 20_000);
+    store.changes("table", 2, Duration::ZERO).await.unwrap();
+    assert!(stated() >= AHEAD_MS + 20_000);
+}
+
+/// Guards against owners of batches that count as silent after a freeze, because their heartbeats wait
+/// unread behind a response of before the freeze that is taken for a recent one.
+#[tokio::test]
+async fn can_tell_when_a_late_response_was_made() {
+    let shared = shared();
     let delay = Duration::from_millis(400);
     let responses = Arc::new(std::sync::Mutex::new(vec![(AHEAD_MS + 20, delay)]));
     let store = Timed::new(SlowFeed { responses }, shared.clone());
