Tests of delivery: wait for at least the expected dispatches

Cause: on a slow machine a sample takes 1.5 times the usual time and is started a second time. The count then goes from below 48 to 49 between two reads, and the wait for equality never ends. These waits are barriers: they never checked that there are no more dispatches, since they ended at the first moment of equality. Waiting for at least as many is as strict.

--- a/components/controller/tests/delivery.rs
+++ b/components/controller/tests/delivery.rs
@@ -64,6 +64,12 @@
     timeout(WAIT, poll).await.expect("condition holds within the wait");
 }
 
+/// Waits until the engine has got `count` samples. On a slow machine a sample may be started a second
+/// time before the count is read.
+async fn wait_for_dispatches(deployment: &Deployment, count: usize) {
+    wait_for(|| deployment.engine.dispatch_count() >= count).await;
+}
+
 /// Guards against a second batch when the same step is fetched through another gateway.
 #[tokio::test]
 async fn can_deliver_a_round_once() {
@@ -159,7 +165,7 @@
     let gateway = deployment.gateway().await;
     let mut client = trainer(State::default());
     client.post(gateway, &round(1)).await.expect("post");
-    wait_for(|| deployment.engine.dispatch_count() == 16).await;
+    wait_for_dispatches(&deployment, 16).await;
     // The first holder still regards its lease as valid.
     let second = deployment.controller("controller-2", Policy::Production).await;
     deployment.grant(&second, 2).await;
@@ -181,7 +187,7 @@
         let gateway = deployment.gateway().await;
         let mut client = trainer(State::default());
         client.post(gateway, &round(1)).await.expect("post");
-        wait_for(|| deployment.engine.dispatch_count() == 16).await;
+        wait_for_dispatches(&deployment, 16).await;
         deployment.table.inject(fault);
         let delivered = batch(&mut client, gateway, 1, 1).await;
         let other = deployment.gateway().await;
@@ -201,7 +207,7 @@
     for step in 1..=3 {
         client.post(gateway, &round(step)).await.expect("post");
     }
-    wait_for(|| deployment.engine.dispatch_count() == 48).await;
+    wait_for_dispatches(&deployment, 48).await;
     batch(&mut client, gateway, 1, 1).await;
     deployment.table.set_down(true);
     let delivered = batch(&mut client, gateway, 2, 1).await;
@@ -231,7 +237,7 @@
     for step in 1..=3 {
         client.post(gateway, &round(step)).await.expect("post");
     }
-    wait_for(|| deployment.engine.dispatch_count() == 48).await;
+    wait_for_dispatches(&deployment, 48).await;
     batch(&mut client, gateway, 1, 1).await;
     deployment.table.set_down(true);
     let grant = controller.grants.send_replace(None);
@@ -276,7 +282,7 @@
     let gateway = deployment.gateway().await;
     let mut client = trainer(State::default());
     client.post(gateway, &round(1)).await.expect("post");
-    wait_for(|| deployment.engine.dispatch_count() == 16).await;
+    wait_for_dispatches(&deployment, 16).await;
     deployment.table.set_down(true);
     let delivered = batch(&mut client, gateway, 1, 1).await;
     first.stop.cancel();
@@ -315,7 +321,7 @@
     batch(&mut client, gateway, 2, 2).await;
     clock.advance(STEP_TIME);
     // At the observed rate the trainer will be at version 3 when it fetches step 3.
-    wait_for(|| deployment.engine.dispatch_count() == 64).await;
+    wait_for_dispatches(&deployment, 64).await;
     let third = batch(&mut client, gateway, 3, 3).await;
     let labels = third.groups.iter().flat_map(|group| &group.samples).flat_map(|it| &it.labels);
     assert!(labels.clone().all(|label| label.version == 3));
@@ -338,7 +344,7 @@
     let mut client = trainer(State::default());
     let round = Round { scorer: Some(scorer.address.to_string()), ..round(1) };
     client.post(gateway, &round).await.expect("post");
-    wait_for(|| deployment.engine.dispatch_count() == 16).await;
+    wait_for_dispatches(&deployment, 16).await;
     let early = client.fetch(gateway, 1, 1, Duration::from_millis(300)).await.expect("fetch");
     assert!(matches!(early, Fetched::Progress(progress) if progress.ready == 0));
     scorer.faults.set_down(false);
@@ -359,7 +365,7 @@
     let gateway = deployment.gateway().await;
     let mut client = trainer(State::default());
     client.post(gateway, &round(1)).await.expect("post");
-    wait_for(|| deployment.engine.dispatch_count() == 16).await;
+    wait_for_dispatches(&deployment, 16).await;
     client.cancel(gateway, 1).await.expect("cancel");
     let fetched = client.fetch(gateway, 1, 1, WAIT).await;
     assert_eq!(status(fetched), (StatusCode::GONE, "cancelled".to_owned()));
@@ -471,7 +477,7 @@
     let gateway = deployment.gateway().await;
     let mut client = trainer(State::default());
     client.post(gateway, &round(1)).await.expect("post");
-    wait_for(|| deployment.engine.dispatch_count() == 16).await;
+    wait_for_dispatches(&deployment, 16).await;
     deployment.table.set_down(true);
     wait_for(|| deployment.store.count("samples/") >= 3).await;
     deployment.table.set_down(false);
@@ -498,7 +504,7 @@
             client.post(gateway, &round(step)).await.expect("post");
         }
         batch(&mut client, gateway, 1, 1).await;
-        wait_for(|| deployment.engine.dispatch_count() >= 32).await;
+        wait_for_dispatches(&deployment, 32).await;
         deployment.table.set_down(true);
         if !policy.delivers_without_table() {
             let table = deployment.table.clone();
